--- /dev/null
+++ b/pepperlatch/admin.py
@@ -0,0 +1,66 @@
+"""What the controllers say to each other, and the administration API. On the controllers' own listener only."""
+
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from pepperlatch import store, wire
+from pepperlatch.http.server import Request, Response
+from pepperlatch.state import Away, StateClient, Unsure
+from pepperlatch.store import Watched
+from pepperlatch.tuning import KNOBS, BadValue, Tuning, checked
+
+SETTINGS, VIEW = "/admin/settings", "/admin/view"
+
+
+class Admin:
+    def __init__(self, watched: Watched, state: StateClient, view: Callable[[], dict[str, Any]]) -> None:
+        self._watched = watched
+        self._state = state
+        self._view = view
+
+    async def handle(self, request: Request) -> Response:
+        try:
+            if request.path == VIEW and request.method == "GET":
+                return Response(200, self._view())
+            if request.path == SETTINGS and request.method == "GET":
+                await self._watched.sync()
+                return Response(200, self._describe())
+            if request.path == SETTINGS and request.method == "PUT":
+                return await self._change(request.body)
+        except (Away, Unsure):
+            return Response(503, {"error": "the state service cannot be reached"})
+        return Response(404, {"error": "no such path"})
+
+    def _describe(self) -> dict[str, Any]:
+        stored, version = self._watched.replica.tuning
+        now = Tuning(stored).values()
+        fields = {
+            name: {"value": now[name], "default": k.default, "low": k.low, "high": k.high, "unit": k.unit, "reason": k.reason}
+            for name, k in KNOBS.items()
+        }
+        return {"version": version, "settings": fields}
+
+    async def _change(self, body: bytes) -> Response:
+        """`{"version": 7, "settings": {"idle_s": 60}}`; fields left out keep their value."""
+        try:
+            wanted = orjson.loads(body)
+            version, changes = wanted["version"], wanted["settings"]
+            if isinstance(version, bool) or not isinstance(version, int) or not isinstance(changes, dict):
+                raise TypeError
+        except (orjson.JSONDecodeError, KeyError, TypeError):
+            return Response(400, {"error": "wanted: an object with version (integer) and settings (object)"})
+        try:
+            values = {name: checked(name, value) for name, value in changes.items()}
+        except BadValue as error:
+            return Response(400, {"error": str(error), "field": str(error).partition(":")[0]})
+        await self._watched.sync()
+        stored, current = self._watched.replica.tuning
+        if version != current:
+            return Response(409, {"error": "stale version", "version": current})
+        outcome = await self._state.txn([wire.when(store.TUNING, current)], [wire.put(store.TUNING, {**stored, **values})])
+        if not outcome.applied:
+            return Response(409, {"error": "stale version"})
+        await self._watched.sync()
+        return Response(200, self._describe())
--- /dev/null
+++ b/pepperlatch/budget.py
@@ -0,0 +1,19 @@
+"""A bucket of tokens that keeps a client inside a service's rate."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Budget:
+    """`rate` a second, at most one second's worth saved up; urgent takers may run into debt."""
+
+    rate: float
+    saved: float = 0.0
+    at: float = 0.0
+
+    def wait_for(self, now: float, amount: float = 1.0, urgent: bool = False) -> float:
+        """Take `amount`; the seconds to wait before using it (0 for the urgent)."""
+        self.saved = min(self.rate, self.saved + (now - self.at) * self.rate)
+        self.at = now
+        self.saved -= amount
+        return 0.0 if urgent or self.saved >= 0 else -self.saved / self.rate
--- /dev/null
+++ b/pepperlatch/cloud.py
@@ -0,0 +1,69 @@
+"""Client of the cloud's interface, inside its rate."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import trio
+
+from pepperlatch import constants as c
+from pepperlatch import wire
+from pepperlatch.budget import Budget
+from pepperlatch.http.client import Lost, Network, NotSent
+from pepperlatch.settings import Cloud
+
+
+class CloudTrouble(Exception):
+    """The call got no usable answer; it may or may not have been carried out."""
+
+
+class NoCapacity(Exception):
+    """None to be had of this type, zone and kind at present."""
+
+
+class CloudClient:
+    def __init__(self, network: Network, addr: str, limits: Cloud, clock: Callable[[], float]) -> None:
+        self._network = network
+        self._addr = addr
+        self._clock = clock
+        self._budget = Budget(limits.rps * c.CLOUD_SHARE)
+
+    async def _call(self, method: str, path: str, body: Any = None) -> Any:
+        wait = self._budget.wait_for(self._clock())
+        if wait > 0:
+            await trio.sleep(wait)
+        try:
+            status, answer = await self._network.request(self._addr, method, path, body, c.CLOUD_REQUEST_S)
+        except (NotSent, Lost) as error:
+            raise CloudTrouble(str(error)) from None
+        if status == 503 and isinstance(answer, dict) and answer.get("error") == "no capacity":
+            raise NoCapacity
+        if status != 200:
+            raise CloudTrouble(f"{path}: {status} {answer}")
+        return answer
+
+    async def types(self) -> list[wire.MachineType]:
+        answer = await self._call("GET", wire.TYPES)
+        try:
+            return wire.types_of(answer)
+        except (msgspec.ValidationError, KeyError, TypeError) as error:
+            raise CloudTrouble(f"unexpected machine types: {error}") from None
+
+    async def hire(self, request: str, type_name: str, zone: str, spot: bool, count: int) -> list[str]:
+        return wire.hired(await self._call("POST", wire.MACHINES, wire.hire_body(request, type_name, zone, spot, count)))
+
+    async def release(self, names: list[str]) -> None:
+        await self._call("POST", wire.RELEASE, wire.release_body(names))
+
+    async def machines(self) -> list[wire.Listed]:
+        listed: list[wire.Listed] = []
+        after = ""
+        while True:
+            try:
+                page = wire.convert(await self._call("GET", wire.list_path(after, c.LIST_PAGE)), wire.MachinePage)
+            except msgspec.ValidationError as error:
+                raise CloudTrouble(f"unexpected machine list: {error}") from None
+            listed += page.machines
+            if not page.more or not page.machines:
+                return listed
+            after = page.machines[-1].name
--- /dev/null
+++ b/pepperlatch/cluster.py
@@ -0,0 +1,433 @@
+"""The leader's picture of jobs, tasks and machines, and how reports and results change it.
+
+No I/O and no clock: every method is told the time. What has to happen outside is left in `touched`,
+`unsaved`, `to_record` and `to_release` for the daemon to carry out.
+"""
+
+import logging
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from pepperlatch import constants as c
+from pepperlatch import wire
+from pepperlatch.model import Attempt, Job, Machine, Phase, Status, split_task
+from pepperlatch.quota import Quota, Use
+from pepperlatch.settings import Params
+from pepperlatch.wire import Cause, JobSpec, Kind, MachineType, Report, TaskReport, TaskState
+
+log = logging.getLogger(__name__)
+Key = tuple[str, int]
+SpecOf = Callable[[str], JobSpec | None]
+
+
+class Cluster:
+    def __init__(self, node: str, token: int, params: Params, now: float, blind_until: float, spec_of: SpecOf) -> None:
+        self.node = node
+        self.token = token
+        self.params = params
+        self.blind_until = blind_until
+        self._spec_of = spec_of  # of a job that is over, whose tasks may still show up
+        self.types: dict[str, MachineType] = {}
+        self.jobs: dict[str, Job] = {}
+        self.machines: dict[str, Machine] = {}
+        self.gone: dict[str, None] = {}
+        self.strays: dict[str, dict[Key, TaskReport]] = {}
+        self.quota = Quota({team.name: team for team in params.teams})
+        self.unaccounted: set[str] = set()
+        self.touched: set[Machine] = set()
+        self.unsaved: set[str] = set()
+        self.to_record: set[Machine] = set()
+        self.to_release: set[str] = set()
+        self.dirty = True
+        self.higher_token = False
+        self._next = 0
+        self.started = now
+
+    # --- jobs -------------------------------------------------------------------------------------
+
+    def add_job(self, spec: JobSpec, version: int, submitted: float, done: set[int], over: bool = False) -> Job:
+        job = Job(spec, version, submitted, version <= self.token, set(done), set(done), over=over)
+        if not over:
+            job.waiting = deque(task for task in range(spec.tasks) if task not in done)
+            if not job.waiting:
+                self.unsaved.add(spec.id)
+        job.reason_since = submitted
+        self.jobs[spec.id] = job
+        self.dirty = True
+        return job
+
+    def end_job(self, job_id: str, now: float) -> None:
+        """The job is cancelled or done: whatever of it still runs has to go."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return
+        job.over = True
+        job.waiting.clear()
+        self.unsaved.discard(job_id)
+        for attempt in list(job.live.values()):
+            self.stop(attempt, 0.0)
+        if not job.live:
+            self.jobs.pop(job_id, None)
+        self.dirty = True
+
+    # --- attempts ---------------------------------------------------------------------------------
+
+    def new_number(self) -> int:
+        self._next += 1
+        return (self.token << c.ATTEMPT_SHIFT) + self._next
+
+    def place(self, job: Job, task: int, machine: Machine, now: float, number: int | None = None) -> Attempt:
+        """Counts against room and limits from here on. The caller has taken the task off `waiting`."""
+        attempt = Attempt(job, task, number or self.new_number(), machine, now)
+        self._register(attempt)
+        job.explain("starting", now)
+        log.info("place %s try %d on %s", attempt.name, attempt.number, machine.name)
+        return attempt
+
+    def _register(self, attempt: Attempt) -> None:
+        machine, job = attempt.machine, attempt.job
+        job.live[attempt.task] = attempt
+        machine.attempts[(attempt.name, attempt.number)] = attempt
+        machine.take(job.spec)
+        machine.idle_since = None
+        self.quota.of(job.spec.team).add(job.spec, 1)
+        self.touched.add(machine)
+
+    def stop(self, attempt: Attempt, grace_s: float) -> None:
+        if attempt.wanted or grace_s < (attempt.kill_grace or 0.0):
+            attempt.kill_grace = grace_s
+            attempt.kill_sent = -1.0
+        if attempt.phase is Phase.PLANNED:
+            self._remove(attempt, 0.0)
+            self._requeue(attempt)
+        self.touched.add(attempt.machine)
+
+    def undo(self, attempt: Attempt) -> None:
+        """Take back a placement that was never sent."""
+        self._remove(attempt, attempt.planned_at)
+        attempt.job.waiting.appendleft(attempt.task)
+
+    def _remove(self, attempt: Attempt, now: float) -> None:
+        """The task is proven gone from its machine."""
+        machine, job = attempt.machine, attempt.job
+        if machine.attempts.pop((attempt.name, attempt.number), None) is None:
+            return
+        if job.live.get(attempt.task) is attempt:
+            del job.live[attempt.task]
+        machine.give(job.spec)
+        self.quota.of(job.spec.team).add(job.spec, -1)
+        if not machine.attempts:
+            machine.idle_since = now
+        self.dirty = True
+
+    def _requeue(self, attempt: Attempt) -> None:
+        job = attempt.job
+        if job.spec.kind is Kind.GANG:
+            self._gang_lost(job)
+        if job.over:
+            if not job.live:
+                self.jobs.pop(job.spec.id, None)
+        elif attempt.task not in job.done and attempt.task not in job.live:
+            job.waiting.appendleft(attempt.task)
+
+    def _gang_lost(self, job: Job) -> None:
+        """A gang lives or dies together: the rest must be gone before it starts again."""
+        for other in list(job.live.values()):
+            if other.wanted and other.state in (None, TaskState.FETCHING, TaskState.WAITING):
+                self.stop(other, 0.0)
+
+    # --- reports ----------------------------------------------------------------------------------
+
+    def on_report(self, report: Report, now: float, beat: bool) -> Machine | None:
+        """Take in a report; None for machines that are gone or of an unknown type."""
+        if report.token > self.token:
+            self.higher_token = True
+            return None
+        if report.machine in self.gone:
+            return None
+        machine = self.machines.get(report.machine) or self._meet(report, now)
+        if machine is None or (report.session, report.seq) <= (machine.session, machine.seq):
+            return machine
+        if report.session > machine.session:
+            self._all_gone(machine, now)
+        machine.session, machine.seq, machine.addr = report.session, report.seq, report.addr
+        machine.seen_at, machine.probes = now, 0
+        if machine.answered_at < 0:
+            machine.answered_at = now
+        if report.notice_s is not None and machine.notice_at is None:
+            machine.notice_at = now + report.notice_s
+            self.dirty = True
+        self._account(machine, report, now)
+        self._tasks(machine, report, now, beat)
+        return machine
+
+    def _meet(self, report: Report, now: float) -> Machine | None:
+        kind = self.types.get(report.type)
+        if kind is None:
+            return None
+        log.info("unexpected machine %s (%s %s)", report.machine, report.type, report.zone)
+        machine = Machine(report.machine, kind, report.zone, report.spot, report.addr, Status.BOOTING, now)
+        self.machines[machine.name] = machine
+        return machine
+
+    def _account(self, machine: Machine, report: Report, now: float) -> None:
+        if machine.status is Status.BOOTING:
+            machine.status = Status.JOINING
+            self.to_record.add(machine)
+        if report.token == self.token and machine.name in self.unaccounted:
+            self.unaccounted.discard(machine.name)
+            self.dirty = True
+            if not self.unaccounted:
+                log.info("all machines accounted for, %.1f s after taking over", now - self.started)
+
+    def recorded(self, name: str, now: float) -> None:
+        machine = self.machines.get(name)
+        if machine is not None and machine.status is Status.JOINING:
+            machine.status = Status.UP
+            machine.up_at = now
+            if not machine.attempts:
+                machine.idle_since = now
+            self.dirty = True
+            log.info("machine %s up after %.1f s", name, now - machine.born)
+
+    def _tasks(self, machine: Machine, report: Report, now: float, beat: bool) -> None:
+        shown = {(t.task, t.attempt): t for t in report.tasks}
+        machine.ended = {key: t for key, t in shown.items() if t.state is TaskState.EXITED}
+        strays = {}
+        for key, task in shown.items():
+            attempt = machine.attempts.get(key)
+            if task.state is TaskState.EXITED:
+                self._exited(machine, attempt, task, now)
+            elif attempt is not None or (attempt := self._adopt(machine, task, now)) is not None:
+                self._progress(attempt, task.state, now)
+            else:
+                strays[key] = task
+        self.strays[machine.name] = strays
+        for key, attempt in list(machine.attempts.items()):
+            if key not in shown:
+                self._absent(machine, key, attempt, report.seq, beat, now)
+
+    def _progress(self, attempt: Attempt, state: TaskState, now: float) -> None:
+        if attempt.phase is not Phase.THERE:
+            attempt.phase = Phase.THERE
+            self.touched.add(attempt.machine)
+        if attempt.state is not state:
+            attempt.state = state
+            if state in (TaskState.RUNNING, TaskState.WAITING) and attempt.running_at is None:
+                attempt.running_at = now
+                attempt.machine.used_image(attempt.job.spec)
+                attempt.job.explain("running", now)
+            elif state is TaskState.FETCHING:
+                attempt.job.explain("fetching its image", now)
+
+    def _absent(self, machine: Machine, key: Key, attempt: Attempt, seq: int, beat: bool, now: float) -> None:
+        """Not in the newest report. Only a launch sent in a report's answer is disproved by that.
+
+        A direct launch may still be in flight, for minutes if a cut holds it: it stays "possibly there".
+        """
+        if attempt.phase is Phase.THERE and key not in machine.sticky:
+            self._remove(attempt, now)
+            self._requeue(attempt)
+        elif attempt.phase is Phase.SENT and beat and 0 <= attempt.sent_seq < seq and key not in machine.sticky:
+            attempt.phase = Phase.PLANNED
+            if not attempt.wanted:
+                self._remove(attempt, now)
+                self._requeue(attempt)
+            self.touched.add(machine)
+
+    def _adopt(self, machine: Machine, task: TaskReport, now: float) -> Attempt | None:
+        """A running task that this leader has not started: an earlier leader did."""
+        parts = split_task(task.task)
+        if parts is None:
+            return None
+        job = self.jobs.get(parts[0])
+        spec = None if job else self._spec_of(parts[0])
+        if spec is not None:
+            job = self.add_job(spec, 0, now, set(), over=True)
+        if job is None or parts[1] in job.live or parts[1] >= job.spec.tasks:
+            return None
+        attempt = Attempt(job, parts[1], task.attempt, machine, now, Phase.THERE)
+        self._register(attempt)
+        if parts[1] in job.waiting:
+            job.waiting.remove(parts[1])
+        if spec is not None or parts[1] in job.done:
+            self.stop(attempt, 0.0)
+        return attempt
+
+    def _exited(self, machine: Machine, attempt: Attempt | None, task: TaskReport, now: float) -> None:
+        parts = split_task(task.task)
+        job = self.jobs.get(parts[0]) if parts else None
+        if attempt is not None:
+            log.info("%s try %d on %s ended: %s", task.task, task.attempt, machine.name, task.why)
+            self._remove(attempt, now)
+        if parts and job is not None and task.why is Cause.DONE:
+            self._finished(job, parts[1], attempt, now)
+        if attempt is not None:
+            self._judge(machine, attempt, task, now)
+            self._requeue(attempt)
+
+    def _finished(self, job: Job, task: int, attempt: Attempt | None, now: float) -> None:
+        if task >= job.spec.tasks or task in job.done or job.over:
+            return
+        job.done.update(range(job.spec.tasks) if job.spec.kind is Kind.GANG else [task])
+        for number in [t for t in job.waiting if t in job.done]:
+            job.waiting.remove(number)
+        other = job.live.get(task)
+        if other is not None:
+            self.stop(other, 0.0)
+        self.unsaved.add(job.spec.id)
+        self.dirty = True
+        if attempt is not None and attempt.running_at is not None:
+            attempt.machine.failed_tasks.clear()
+            if job.spec.estimate_s > 0:
+                attempt.machine.pace.append((now - attempt.running_at) / job.spec.estimate_s)
+                del attempt.machine.pace[: -2 * c.SLOW_SAMPLES]
+
+    def _judge(self, machine: Machine, attempt: Attempt, task: TaskReport, now: float) -> None:
+        """Errors count against the machine, and against the job once several machines saw them."""
+        job = attempt.job
+        if task.why is Cause.ERROR:
+            if now - machine.failed_at > c.ERROR_WINDOW_S:
+                machine.failed_tasks.clear()
+            machine.failed_at = now
+            job.failed_on.add(machine.name)
+            if len(job.failed_on) < c.JOB_ERROR_MACHINES:
+                machine.failed_tasks.add(task.task)
+            else:
+                job.pause_s = min(c.JOB_BACKOFF_MOST_S, max(c.JOB_BACKOFF_S, job.pause_s * 2))
+                job.not_before = now + job.pause_s
+            if len(machine.failed_tasks) >= c.ERROR_TASKS and not machine.quarantined:
+                machine.quarantined = True
+                log.info("quarantine %s: failed %s", machine.name, sorted(machine.failed_tasks))
+        elif task.why is Cause.DONE:
+            job.failed_on.discard(machine.name)
+        elif task.why in wire.TASK_BLOCKERS:
+            job.not_before = now + c.JOB_BACKOFF_S
+
+    # --- machines going ---------------------------------------------------------------------------
+
+    def _all_gone(self, machine: Machine, now: float) -> None:
+        """A new session, or the machine itself is gone: nothing of the old one runs or can still start."""
+        machine.sticky.clear()
+        machine.ended.clear()
+        self.strays.pop(machine.name, None)
+        for attempt in list(machine.attempts.values()):
+            self._remove(attempt, now)
+            self._requeue(attempt)
+
+    def remove_machine(self, name: str, now: float) -> None:
+        """The cloud has confirmed that the machine is no more."""
+        machine = self.machines.pop(name, None)
+        self.gone[name] = None
+        self.unaccounted.discard(name)
+        self.to_release.discard(name)
+        if machine is not None:
+            self._all_gone(machine, now)
+            self.touched.discard(machine)
+            self.to_record.discard(machine)
+        self.dirty = True
+
+    def release(self, machine: Machine, why: str) -> None:
+        if machine.status is not Status.LEAVING:
+            log.info("return %s: %s", machine.name, why)
+            machine.status = Status.LEAVING
+            self.to_record.discard(machine)
+            self.to_release.add(machine.name)
+
+    def lease_over(self, machine: Machine, now: float) -> bool:
+        """The worker has surely killed its tasks: no answer of ours can have kept its lease alive."""
+        lease_s = self.params.workers.lease_s * (1 + c.CLOCK_DRIFT)
+        last = machine.answered_at if machine.name not in self.unaccounted else self.blind_until - lease_s
+        return now > last + lease_s + c.CLOCK_DRIFT + 0.2
+
+    def expire(self, now: float) -> None:
+        for machine in list(self.machines.values()):
+            if machine.status in (Status.UP, Status.LEAVING) and self.lease_over(machine, now):
+                if machine.attempts or machine.name in self.unaccounted:
+                    log.info("the lease of %s is over", machine.name)
+                    self._all_gone(machine, now)
+                    self.unaccounted.discard(machine.name)
+                    self.dirty = True
+
+    # --- orders -----------------------------------------------------------------------------------
+
+    def orders_for_beat(self, machine: Machine, sure: bool, now: float) -> list[dict[str, Any]]:
+        """Orders for the answer to the machine's newest report; settled by its next report."""
+        orders: list[dict[str, Any]] = []
+        for attempt in list(machine.attempts.values()):
+            orders += self._order(attempt, machine.seq, now)
+        for name, number in self.strays.get(machine.name, {}):
+            orders.append(wire.kill(name, number, 0.0))
+        if sure:
+            orders += [wire.reap(*key) for key, task in machine.ended.items() if self._reapable(machine, key, task)]
+        return orders
+
+    def _reapable(self, machine: Machine, key: Key, task: TaskReport) -> bool:
+        """A finished task only once that is saved; never one whose launch may still arrive: it would run again."""
+        if key in machine.sticky or key in machine.attempts:
+            return False
+        parts = split_task(task.task)
+        job = self.jobs.get(parts[0]) if parts else None
+        return job is None or task.why is not Cause.DONE or (parts is not None and parts[1] in job.saved)
+
+    def _order(self, attempt: Attempt, seq: int, now: float) -> list[dict[str, Any]]:
+        beat = seq >= 0
+        name, number = attempt.name, attempt.number
+        if attempt.phase is Phase.PLANNED or (attempt.phase is Phase.UNSURE and beat):
+            orders = [wire.launch(name, number)]
+            if attempt.phase is Phase.PLANNED:
+                attempt.phase = Phase.SENT
+                attempt.sent_seq = seq
+            if not attempt.wanted:  # holding it, ended, is what makes a late launch harmless
+                orders.append(wire.kill(name, number, 0.0))
+            return orders
+        if not attempt.wanted and attempt.phase is Phase.THERE and now - attempt.kill_sent >= c.KILL_REPEAT_S:
+            grace = attempt.kill_grace or 0.0
+            attempt.kill_sent = now
+            return [wire.kill(name, number, grace)]
+        return []
+
+    def orders_direct(self, machine: Machine, now: float) -> tuple[list[dict[str, Any]], list[Attempt]]:
+        orders: list[dict[str, Any]] = []
+        launched: list[Attempt] = []
+        for attempt in list(machine.attempts.values()):
+            planned = attempt.phase is Phase.PLANNED
+            more = self._order(attempt, -1, now)
+            orders += more
+            if planned and more:
+                launched.append(attempt)
+        return orders, launched
+
+    def direct_result(self, machine: Machine, launched: list[Attempt], executed: bool | None, now: float) -> None:
+        """executed: True, False (surely not), or None (no answer: it may happen minutes from now)."""
+        for attempt in launched:
+            key = (attempt.name, attempt.number)
+            if machine.attempts.get(key) is not attempt or attempt.phase is not Phase.SENT:
+                continue
+            if executed is None:
+                attempt.phase = Phase.UNSURE
+                machine.sticky.add(key)
+            else:
+                attempt.phase = Phase.PLANNED
+                if not attempt.wanted:
+                    self._remove(attempt, now)
+                    self._requeue(attempt)
+        if executed is not True:
+            for attempt in machine.attempts.values():
+                attempt.kill_sent = -1.0
+
+    # --- after taking over ------------------------------------------------------------------------
+
+    def rebuilding(self) -> bool:
+        return bool(self.unaccounted)
+
+    def count_hidden(self) -> None:
+        """While machines are unaccounted for, unseen older tasks may be running: they use their limits."""
+        self.quota.hidden = {}
+        if not self.rebuilding():
+            return
+        for job in self.jobs.values():
+            if job.old:
+                unseen = job.spec.tasks - len(job.done) - len(job.live)
+                self.quota.hidden.setdefault(job.spec.team, Use()).add(job.spec, unseen)
--- /dev/null
+++ b/pepperlatch/constants.py
@@ -0,0 +1,83 @@
+"""Every number the project chose, with its unit and the reason for it.
+
+Numbers of a deployment (limits, leases, budgets) come from the settings or from the cloud's answers
+instead.  Those that operators may change at run time are the defaults in `tuning.py`.
+"""
+
+from typing import Final
+
+# --- HTTP -----------------------------------------------------------------------------------------
+MAX_BODY_BYTES: Final = 64 * 1024  # bytes; the protocol's limit for request bodies
+READ_CHUNK_BYTES: Final = 64 * 1024  # bytes; one read takes a whole request of the largest size
+REQUEST_READ_S: Final = 5.0  # s; a slow client is cut off after this, users give up after 5 s anyway
+IDLE_CONNECTION_S: Final = 90.0  # s; users poll every 5 s and workers report faster, so idle means gone
+POOL_IDLE_PER_PEER: Final = 4  # connections; more than this at once to one address is rare
+POOL_IDLE_S: Final = 20.0  # s; an idle pooled connection older than this is closed, not trusted
+CONNECT_S: Final = 1.0  # s; three round trips of the slowest link, one lost packet included
+SOCKET_SHARE_SERVER: Final = 0.7  # share of the socket limit that accepted connections may hold
+
+# --- state service --------------------------------------------------------------------------------
+STATE_REQUEST_S: Final = 1.5  # s; answers take under 10 ms, now and then a few hundred
+STATE_SHARE_LEADER: Final = 0.45  # share of the budget; the leader writes results besides submissions
+STATE_SHARE_OTHERS: Final = 0.45  # share of the budget that the other nodes divide among them
+STATE_RETRY_S: Final = 0.25  # s; pause after a refused or lost request
+WATCH_WAIT_MS: Final = 2000  # ms; also the pace at which a quiet watch proves that it still works
+WATCH_GAP_S: Final = 0.03  # s; changes within it share one answer, 33 requests a second at most
+SYNC_GAP_S: Final = 0.02  # s; polls within it share one read
+TXN_BYTES: Final = 40_000  # bytes; below the protocol's 64 KiB, conditions included
+LIST_PAGE: Final = 500  # items; half of the protocol's limit, answers stay small
+BITMAP_CHUNK_TASKS: Final = 32768  # tasks; 4 KiB of bits, 5.5 KiB as base64: fits the smallest values
+SUBMIT_WAIT_S: Final = 2.0  # s; then the user is told to come back: the user's own limit is 5 s
+RETRY_AFTER_S: Final = 2  # s; told to a user whose request cannot be taken now
+
+# --- leadership -----------------------------------------------------------------------------------
+LEADER_LEASE_MS: Final = 3000  # ms; a dead leader is replaced after this; ten times a slow answer
+LEADER_TOUCH_S: Final = 0.7  # s; four tries fit into one lease
+ELECTION_JITTER_S: Final = 0.15  # s; keeps candidates from asking at the same instant
+HOLD_MARGIN_S: Final = 1.0  # s; kept free between the end of a held lease and the cancel bound
+CLOCK_DRIFT: Final = 0.001  # share; twice the protocol's 0.05 %, for two clocks drifting apart
+FENCE_TRY_S: Final = 1.0  # s; deadline of one try to fence a machine
+FENCE_PAUSE_S: Final = 0.4  # s; between two tries to fence the same machine
+
+# --- workers --------------------------------------------------------------------------------------
+COMMAND_S: Final = 2.0  # s; a worker answers at once, this allows one lost packet
+PROBE_S: Final = 1.0  # s; deadline for asking a silent machine directly
+SILENT_REPORTS: Final = 1.6  # report intervals without a report before a machine is asked directly
+SILENT_PROBES: Final = 2  # unanswered questions before a silent machine is given up
+SILENT_MANY_SHARE: Final = 0.34  # share; if more machines are silent at once, the network is at fault
+SILENT_LONG_S: Final = 90.0  # s; even if many are silent, machines that earn nothing are not paid for longer
+KILL_REPEAT_S: Final = 2.0  # s; a kill not yet obeyed is repeated after this
+RELAY_AFTER_S: Final = 10.0  # s; a worker sent away that is back sooner could not reach the leader
+RELAY_STICKY_S: Final = 20.0  # s; how long its reports are then passed on before it is sent away again
+RELAY_S: Final = 2.5  # s; below the 4 s after which the worker drops an answer
+ATTEMPT_SHIFT: Final = 24  # bits; 16 million attempts under one token
+
+# --- cloud ----------------------------------------------------------------------------------------
+CLOUD_REQUEST_S: Final = 8.0  # s; renting many machines is slow, yet an outage answers at once
+CLOUD_RETRY_S: Final = 1.0  # s; pause after a failed call
+CLOUD_LIST_EVERY_S: Final = 5.0  # s; how soon unexpected and failed machines are found
+PRICES_EVERY_S: Final = 30.0  # s; spot prices move slowly
+CLOUD_SHARE: Final = 0.8  # share of the cloud's rate used, the rest is for a node taking over
+HIRE_COUNT_MOST: Final = 50  # machines; protocol limit of one request
+RELEASE_MOST: Final = 100  # names; protocol limit of one request
+NO_CAPACITY_PAUSE_S: Final = 10.0  # s; before a refused offer is asked again; doubles up to the next
+NO_CAPACITY_PAUSE_MOST_S: Final = 40.0  # s; capacity returns when others give machines back
+BOOT_PATIENCE: Final = 3.0  # times the usual boot time; then a machine is taken to never come up
+BOOT_PATIENCE_LEAST_S: Final = 45.0  # s; least patience, for types that boot fast
+LIST_LAG_TIMES: Final = 2.0  # lists may be older than their nominal lag by this factor
+
+# --- planning -------------------------------------------------------------------------------------
+TICK_S: Final = 0.5  # s; housekeeping when nothing else happens
+PERSIST_GAP_S: Final = 0.4  # s; finished tasks of unfinished jobs are written together
+MIN_CHARGE_S: Final = 60.0  # s; the cloud charges at least this
+ERROR_WINDOW_S: Final = 60.0  # s; errors further apart say nothing about a machine
+ERROR_TASKS: Final = 2  # different tasks failed in a row before a machine is taken to be faulty
+JOB_ERROR_MACHINES: Final = 3  # machines a job must fail on before the job is taken to be at fault
+JOB_BACKOFF_S: Final = 2.0  # s; first pause of a failing job, doubling
+JOB_BACKOFF_MOST_S: Final = 60.0  # s; a job submitted with a mistake must not spoil machines
+SLOW_FACTOR: Final = 1.8  # times the usual run time; machines differ by a tenth, estimates by a half
+SLOW_SAMPLES: Final = 3  # finished tasks before a machine is called slow
+PREEMPT_MOST: Final = 8  # tasks stopped for others in one round, so a round cannot empty the cluster
+SUMMARY_EVERY_S: Final = 1.5  # s; followers fetch what the leader shows users beyond the protocol
+HEALTH_EVERY_S: Final = 0.7  # s; the balancer asks about once a second
+STATE_BAD_S: Final = 1.2  # s; without a good answer for this long the state service counts as away
--- /dev/null
+++ b/pepperlatch/daemon.py
@@ -0,0 +1,282 @@
+"""A controller node: its parts, put together, and the loops that keep them going."""
+
+import logging
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import orjson
+import trio
+
+from pepperlatch import constants as c
+from pepperlatch import wire
+from pepperlatch.admin import Admin
+from pepperlatch.cloud import CloudClient, CloudTrouble
+from pepperlatch.http.client import HttpNetwork, Lost, Network, NotSent
+from pepperlatch.http.server import Request, Response, Server
+from pepperlatch.leader import Leader
+from pepperlatch.leadership import Leadership, Term, hold_seconds
+from pepperlatch.owner import Owner, Reply
+from pepperlatch.settings import Peer, Settings, split_address
+from pepperlatch.state import StateClient
+from pepperlatch.store import Replica, Watched
+from pepperlatch.users import Progress, Users
+from pepperlatch.wire import Report
+from pepperlatch.workers import WorkerClient
+
+log = logging.getLogger(__name__)
+PEER_BEAT, PEER_SUMMARY, PEER_HEALTH = "/peer/beat", "/peer/summary", "/peer/health"
+
+
+@dataclass(slots=True)
+class _Sent:
+    """When a worker was last sent to the leader, and until when its reports are passed on instead."""
+
+    at: float
+    relay_until: float = -1.0
+
+
+@dataclass(slots=True)
+class _Summary:
+    at: float = -1.0
+    jobs: dict[str, list[Any]] = field(default_factory=dict)
+
+
+class Node:
+    def __init__(self, settings: Settings, network: Network, clock: Callable[[], float] = trio.current_time, wall: Callable[[], float] = time.time) -> None:
+        self.settings = settings
+        self._network = network
+        self._clock = clock
+        self._wall = wall
+        params = settings.params
+        self.state = StateClient(network, settings.services.state, params.state, params.nodes, clock)
+        self.cloud = CloudClient(network, settings.services.cloud, params.cloud, clock)
+        self.workers = WorkerClient(network)
+        self.replica = Replica()
+        self.watched = Watched(self.state, self.replica, self._changed)
+        hold_s = hold_seconds(params.workers.cancel_s, params.workers.lease_s)
+        self.leadership = Leadership(settings.node, self.state, self.replica, hold_s, clock)
+        self.owner = Owner(self._settle, c.TICK_S / 5)
+        self.users = Users(settings, self.watched, self.state, wall, self._progress)
+        self.admin = Admin(self.watched, self.state, self.view)
+        self.leader: Leader | None = None
+        self._nursery: trio.Nursery | None = None
+        self._sent: dict[str, _Sent] = {}
+        self._summary = _Summary()
+        self._peers_good = False
+        self._random = random.Random()
+
+    # --- life -------------------------------------------------------------------------------------
+
+    async def run(self, started: Callable[[], None] = lambda: None) -> None:
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            loops = (
+                self.owner.run, self.watched.watch, self.watched.serve_syncs, self.users.create_loop,
+                self._summary_loop, self._health_loop, self._types_loop,
+            )  # fmt: skip
+            for loop in loops:
+                nursery.start_soon(loop)
+            nursery.start_soon(self.leadership.run, self._on_term)
+            started()
+
+    def _on_term(self, term: Term | None) -> None:
+        if term is None:
+            self.leader = None
+            return
+        self.leader = Leader(self.settings, term, self.replica, self.state, self.cloud, self.workers, self.owner, self._clock, self._wall)
+        if self._nursery is not None:
+            self._nursery.start_soon(self.leader.run)
+
+    def _changed(self, touched: set[str]) -> None:
+        """The watch: the loss of leadership is seen before any job that came after it."""
+        self.leadership.check_key()
+        leader = self.leader
+        if leader is not None and not leader.term.over:
+            self.owner.post(lambda: leader.on_jobs(touched))
+
+    def _settle(self) -> None:
+        if self.leader is not None:
+            self.leader.settle()
+
+    # --- the users' listener ----------------------------------------------------------------------
+
+    async def handle(self, request: Request) -> Response:
+        if request.path == wire.HEALTH:
+            return self._health()
+        if request.path == wire.REPORT and request.method == "POST":
+            return await self._beat(request.body)
+        return await self.users.handle(request)
+
+    def _health(self) -> Response:
+        """Unhealthy only if the state service refuses this node alone; an outage is everyone's."""
+        able = bool(self.replica.types or self.users.types)
+        good = (self.replica.loaded and able and self._state_good()) or not self._peers_good
+        return Response(200 if good and self.replica.loaded else 503, {"healthy": good})
+
+    def _state_good(self) -> bool:
+        return self.state.reachable() or self._clock() - self.state.good_at < c.STATE_BAD_S
+
+    async def _beat(self, body: bytes) -> Response:
+        try:
+            report = wire.convert(orjson.loads(body), Report)
+        except (orjson.JSONDecodeError, msgspec.ValidationError) as error:
+            return Response(400, {"error": str(error)})
+        if self.leader is not None:
+            return await self._lead_beat(report)
+        held = self.replica.leader
+        if held is None or held[0] == self.settings.node:
+            return Response(503, {"error": "nobody leads"})
+        if self._sent_away(report.machine):
+            return Response(421, wire.misdirected(held[0]))
+        return await self._relay(held[0], report.machine, body)
+
+    async def _lead_beat(self, report: Report) -> Response:
+        leader = self.leader
+        reply: Reply[dict[str, Any] | None] = Reply()
+        if leader is not None:
+            self.owner.post(lambda: leader.on_beat(report, reply))
+            with trio.move_on_after(c.RELAY_S):
+                answer = await reply.get()
+                if answer is not None:
+                    return Response(200, answer)
+        return Response(503, {"error": "not entitled to answer"})
+
+    def _sent_away(self, machine: str) -> bool:
+        """Whether the worker is to be sent to the leader; one that is soon back could not reach it."""
+        now = self._clock()
+        sent = self._sent.get(machine)
+        if sent is None or (now - sent.at > c.RELAY_AFTER_S and now > sent.relay_until):
+            self._sent[machine] = _Sent(now)
+            return True
+        if now > sent.relay_until:
+            sent.relay_until = now + c.RELAY_STICKY_S
+        return False
+
+    async def _relay(self, leader: str, machine: str, body: bytes) -> Response:
+        """Pass a report on, so that a zone that cannot reach the leader lives on."""
+        peer = self._peer(leader)
+        if peer is not None:
+            try:
+                status, answer = await self._network.request(peer.addr, "POST", PEER_BEAT, orjson.loads(body), c.RELAY_S)
+                if status == 200:
+                    return Response(200, answer)
+            except (NotSent, Lost):
+                pass
+        self._sent.pop(machine, None)
+        return Response(421, {})
+
+    def _peer(self, node: str) -> Peer | None:
+        return next((p for p in self.settings.peers if p.node == node), None)
+
+    # --- the controllers' listener ----------------------------------------------------------------
+
+    async def handle_peer(self, request: Request) -> Response:
+        if request.path == PEER_BEAT and request.method == "POST":
+            try:
+                return await self._lead_beat(wire.convert(orjson.loads(request.body), Report))
+            except (orjson.JSONDecodeError, msgspec.ValidationError) as error:
+                return Response(400, {"error": str(error)})
+        if request.path == PEER_SUMMARY:
+            return Response(200, self._own_summary()) if self.leader else Response(404, {})
+        if request.path == PEER_HEALTH:
+            return Response(200, {"state": self._state_good() and self.replica.loaded})
+        return await self.admin.handle(request)
+
+    def _own_summary(self) -> dict[str, Any]:
+        if self.leader is None:
+            return {}
+        now = self._clock()
+        jobs = self.leader.cluster.jobs.values()
+        return {j.spec.id: [j.running(), len(j.done), j.reason, round(now - j.reason_since, 1)] for j in jobs if not j.over}
+
+    def _progress(self, job_id: str) -> Progress | None:
+        if self.leader is not None:
+            job = self.leader.cluster.jobs.get(job_id)
+            if job is None:
+                return None
+            return Progress(job.running(), len(job.done), job.reason, self._clock() - job.reason_since)
+        row = self._summary.jobs.get(job_id)
+        return Progress(row[0], row[1], row[2], row[3] + self._clock() - self._summary.at) if row else None
+
+    async def _summary_loop(self) -> None:
+        while True:
+            await trio.sleep(c.SUMMARY_EVERY_S)
+            held = self.replica.leader
+            peer = self._peer(held[0]) if held is not None else None
+            if peer is None or self.leader is not None:
+                continue
+            try:
+                status, answer = await self._network.request(peer.addr, "GET", PEER_SUMMARY, None, c.PROBE_S)
+                if status == 200 and isinstance(answer, dict):
+                    self._summary = _Summary(self._clock(), answer)
+            except (NotSent, Lost):
+                pass
+
+    async def _health_loop(self) -> None:
+        """Only while this node has no good answer itself does it ask whether the others do."""
+        while True:
+            await trio.sleep(c.HEALTH_EVERY_S)
+            if self.replica.loaded and self._state_good():
+                self._peers_good = False
+                continue
+            answers = [await self._peer_good(peer) for peer in self.settings.peers]
+            self._peers_good = any(answers)
+
+    async def _peer_good(self, peer: Peer) -> bool:
+        try:
+            status, answer = await self._network.request(peer.addr, "GET", PEER_HEALTH, None, c.PROBE_S / 2)
+            return status == 200 and bool(answer.get("state"))
+        except (NotSent, Lost, AttributeError):
+            return False
+
+    async def _types_loop(self) -> None:
+        """A node must know the machine types to decide; once the state service holds them it asks no more."""
+        while not self.replica.types and not self.users.types:
+            try:
+                self.users.types = await self.cloud.types()
+            except CloudTrouble:
+                await trio.sleep(c.CLOUD_RETRY_S)
+
+    # --- views ------------------------------------------------------------------------------------
+
+    def view(self) -> dict[str, Any]:
+        """For operators: who leads, and if it is this node, machines, drains and teams."""
+        held = self.replica.leader
+        answer: dict[str, Any] = {"node": self.settings.node, "leader": held[0] if held else None, "token": held[1] if held else None}
+        if self.leader is None:
+            return answer
+        cluster, planner = self.leader.cluster, self.leader.planner
+        answer["machines"] = [
+            {
+                "name": m.name, "type": m.type.name, "zone": m.zone, "spot": m.spot, "status": m.status.value,
+                "tasks": len(m.attempts), "used_share": round(m.used_share(), 3), "draining": m.draining,
+                "quarantined": m.quarantined, "accounted": m.name not in cluster.unaccounted,
+                "silent_s": round(self._clock() - m.seen_at, 1) if m.seen_at >= 0 else None,
+            }
+            for m in cluster.machines.values()
+        ]  # fmt: skip
+        answer["drains"] = {"begun": planner.drains_done}
+        answer["teams"] = [
+            {"name": t.name, "cpus": cluster.quota.of(t.name).cpus, "guaranteed": t.cpus, "limit": t.cpus_max}
+            for t in self.settings.params.teams
+        ]
+        return answer
+
+
+async def serve(settings: Settings) -> None:
+    limit = settings.params.limits.max_connections
+    accepted = int(limit * c.SOCKET_SHARE_SERVER)
+    network = HttpNetwork(limit - accepted - 20)
+    node = Node(settings, network)
+    async with trio.open_nursery() as nursery:
+        for handler, address, most in ((node.handle, settings.listen, accepted * 4 // 5), (node.handle_peer, settings.peer_listen, accepted // 5)):
+            host, port = split_address(address)
+            await nursery.start(Server(handler, most).serve, host, port)
+        nursery.start_soon(node.run)
+        while True:
+            await trio.sleep(c.POOL_IDLE_S)
+            network.drop_idle()
--- /dev/null
+++ b/pepperlatch/draining.py
@@ -0,0 +1,83 @@
+"""The design's drain: the least-used machine is emptied whole onto busy ones, or not at all.
+
+A pure function of what the leader knows; see docs/design.md for what was kept of the paper.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from pepperlatch.model import Attempt, Machine, Phase, allowed_on
+from pepperlatch.placement import zone_bound
+from pepperlatch.wire import Kind, TaskState
+
+
+@dataclass(slots=True)
+class Drain:
+    machine: Machine
+    moves: list[tuple[Attempt, Machine]]
+
+
+def underused(machines: Iterable[Machine], threshold: float) -> list[Machine]:
+    """Busy machines below the threshold, least-used first."""
+    low = [m for m in machines if m.attempts and m.used_share() < threshold]
+    return sorted(low, key=lambda m: (m.used_share(), m.name))
+
+
+def movable(machine: Machine, now: float, age_s: float) -> bool:
+    """Its tasks all run, are young and alone; a replica moves only while another one runs."""
+    return all(
+        a.phase is Phase.THERE and a.wanted and a.state is TaskState.RUNNING
+        and a.running_at is not None and now - a.running_at < age_s and a.job.spec.kind is not Kind.GANG
+        and (a.job.spec.kind is not Kind.SERVICE or _other_runs(a))
+        for a in machine.attempts.values()
+    )  # fmt: skip
+
+
+def _other_runs(attempt: Attempt) -> bool:
+    return any(a.state is TaskState.RUNNING and a is not attempt and a.wanted for a in attempt.job.live.values())
+
+
+def destinations(machine: Machine, busy: list[Machine]) -> list[tuple[Attempt, Machine]] | None:
+    """For every task the fullest busy machine that fits, in its zone first; None if one has none."""
+    room = {m: [m.free_cpus, m.free_gpus, m.free_gb] for m in busy if m is not machine}
+    moves: list[tuple[Attempt, Machine]] = []
+    for attempt in sorted(machine.attempts.values(), key=lambda a: -a.job.spec.cpus):
+        target = _target(attempt, machine, room)
+        if target is None:
+            return None
+        spec = attempt.job.spec
+        for i, need in enumerate((spec.cpus, spec.gpus, spec.memory_gb)):
+            room[target][i] -= need
+        moves.append((attempt, target))
+    return moves
+
+
+def _target(attempt: Attempt, source: Machine, room: dict[Machine, list[float]]) -> Machine | None:
+    spec = attempt.job.spec
+    needs = (spec.cpus, spec.gpus, spec.memory_gb)
+    fitting = [
+        m for m, free in room.items()
+        if all(f >= n - 1e-6 for f, n in zip(free, needs, strict=True)) and allowed_on(spec, m.type.name, m.zone, m.spot)
+    ]  # fmt: skip
+    near = [m for m in fitting if m.zone == source.zone]
+    far = [] if spec.kind is Kind.SERVICE or spec.one_zone else [m for m in fitting if _zone_open(attempt, m.zone)]
+    return min(near or far, key=lambda m: (room[m][0], m.name), default=None)
+
+
+def _zone_open(attempt: Attempt, zone: str) -> bool:
+    there = sum(1 for a in attempt.job.live.values() if a.machine.zone == zone and a is not attempt)
+    return there < zone_bound(attempt.job)
+
+
+def choose(
+    machines: list[Machine], threshold: float, age_s: float, now: float, needed: Callable[[Machine], bool]
+) -> Drain | None:
+    """At most one drain a round: the first underused machine that nobody waits for and that empties whole."""
+    busy = [m for m in machines if m.attempts]
+    for machine in underused(machines, threshold):
+        if needed(machine) or not movable(machine, now, age_s):
+            continue
+        moves = destinations(machine, busy)
+        if moves is not None:
+            return Drain(machine, moves)
+    return None
--- /dev/null
+++ b/pepperlatch/fleet.py
@@ -0,0 +1,112 @@
+"""Which machines to rent for waiting tasks, and which idle ones to return. No I/O, no clock."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from pepperlatch import constants as c
+from pepperlatch.model import EPS, Job, allowed_on, fits_type
+from pepperlatch.wire import JobSpec, Kind, MachineType
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    type: str
+    zone: str
+    spot: bool
+
+
+@dataclass(slots=True)
+class Need:
+    """Tasks of one job that have no place."""
+
+    job: Job
+    count: int
+    spread: dict[str, int] = field(default_factory=dict)  # tasks per zone, placed or planned
+
+
+@dataclass(slots=True, eq=False)
+class Bin:
+    """Room of a machine that is booting, or that might be rented."""
+
+    offer: Offer
+    cpus: float
+    gpus: float
+    memory_gb: float
+
+    def slots(self, spec: JobSpec) -> int:
+        pairs = ((spec.cpus, self.cpus), (spec.gpus, self.gpus), (spec.memory_gb, self.memory_gb))
+        return max(0, min((int((free + EPS) // need) for need, free in pairs if need > 0), default=spec.tasks))
+
+    def fill(self, needs: Iterable[Need]) -> float:
+        """Put as many needed tasks as possible here; the CPUs they take."""
+        taken = 0.0
+        for need in needs:
+            spec = need.job.spec
+            if need.count <= 0 or not allowed_on(spec, self.offer.type, self.offer.zone, self.offer.spot):
+                continue
+            count = min(need.count, self.slots(spec), zone_room(need, self.offer.zone))
+            if count <= 0:
+                continue
+            self.cpus -= count * spec.cpus
+            self.gpus -= count * spec.gpus
+            self.memory_gb -= count * spec.memory_gb
+            need.count -= count
+            need.spread[self.offer.zone] = need.spread.get(self.offer.zone, 0) + count
+            taken += count * (spec.cpus + spec.gpus)
+        return taken
+
+
+def zone_room(need: Need, zone: str) -> int:
+    spec = need.job.spec
+    if spec.one_zone and need.spread and zone not in need.spread:
+        return 0
+    return (spec.tasks + 1) // 2 - need.spread.get(zone, 0) if spec.spread else need.count
+
+
+def bin_of(offer: Offer, kind: MachineType) -> Bin:
+    return Bin(offer, kind.cpus, kind.gpus, kind.memory_gb)
+
+
+def price_of(offer: Offer, kind: MachineType) -> float:
+    return kind.spot_price if offer.spot else kind.price
+
+
+def patience_s(kind: MachineType) -> float:
+    """After this a booting machine is taken to never come up."""
+    return max(c.BOOT_PATIENCE_LEAST_S, kind.boot_s * c.BOOT_PATIENCE)
+
+
+def offers(types: Iterable[MachineType], blocked: set[Offer]) -> list[tuple[Offer, MachineType]]:
+    every = [(Offer(t.name, zone, spot), t) for t in types for zone in t.zones for spot in (False, True)]
+    return [(offer, kind) for offer, kind in every if offer not in blocked]
+
+
+def choose(needs: list[Need], types: list[MachineType], blocked: set[Offer], most: int) -> list[Offer]:
+    """The cheapest machines, by price for what they would be used, until every need has a place."""
+    chosen: list[Offer] = []
+    open_offers = offers(types, blocked)
+    while len(chosen) < most:
+        need = next((n for n in needs if n.count > 0 and _candidates(n, open_offers)), None)
+        if need is None:
+            return chosen
+        scored = [(_score(offer, kind, needs), i) for i, (offer, kind) in enumerate(_candidates(need, open_offers))]
+        offer, kind = _candidates(need, open_offers)[min(scored)[1]]
+        bin_of(offer, kind).fill([need, *needs])
+        chosen.append(offer)
+    return chosen
+
+
+def _candidates(need: Need, open_offers: list[tuple[Offer, MachineType]]) -> list[tuple[Offer, MachineType]]:
+    spec = need.job.spec
+    return [
+        (offer, kind) for offer, kind in open_offers
+        if fits_type(spec, kind) and allowed_on(spec, kind.name, offer.zone, offer.spot) and zone_room(need, offer.zone) > 0
+    ]  # fmt: skip
+
+
+def _score(offer: Offer, kind: MachineType, needs: list[Need]) -> float:
+    """Price per CPU put to use, a little more for types that boot slowly."""
+    trial = [Need(n.job, n.count, dict(n.spread)) for n in needs if n.count > 0]
+    taken = bin_of(offer, kind).fill(trial)
+    urgent = any(n.job.spec.kind is Kind.SERVICE or n.job.spec.deadline_s for n in needs if n.count > 0)
+    return price_of(offer, kind) / max(taken, EPS) * (1 + (kind.boot_s / 60 if urgent else 0))
--- /dev/null
+++ b/pepperlatch/http/client.py
@@ -0,0 +1,128 @@
+"""A pooled HTTP client that tells apart what was surely not sent and what may have been carried out."""
+
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+import h11
+import orjson
+import trio
+
+from pepperlatch import constants as c
+from pepperlatch.settings import split_address
+
+
+class NotSent(Exception):
+    """No connection came about, so the request cannot be carried out, not even later."""
+
+
+class Lost(Exception):
+    """No answer: the request may have been carried out, or may yet be."""
+
+
+class Network(Protocol):
+    """What the protocol clients need of a network; the tests bring one in memory."""
+
+    async def request(self, addr: str, method: str, path: str, body: Any = None, deadline_s: float = 2.0) -> tuple[int, Any]: ...
+
+
+@dataclass(slots=True)
+class _Link:
+    stream: trio.SocketStream
+    conn: h11.Connection
+    idle_since: float = 0.0
+
+
+@dataclass(slots=True)
+class HttpNetwork:
+    """Requests over TCP; connections are kept and used again while they are young."""
+
+    most: int
+    _idle: dict[str, list[_Link]] = field(default_factory=dict)
+    _open: int = 0
+
+    async def request(self, addr: str, method: str, path: str, body: Any = None, deadline_s: float = 2.0) -> tuple[int, Any]:
+        payload = b"" if body is None else orjson.dumps(body)
+        started = trio.current_time()
+        link = await self._link(addr, min(c.CONNECT_S, deadline_s))
+        kept = False
+        try:
+            with trio.fail_after(max(0.01, deadline_s - (trio.current_time() - started))):
+                status, data = await self._exchange(link, addr, method, path, payload)
+                kept = self._keep(addr, link)
+            return status, (orjson.loads(data) if data else None)
+        except (trio.TooSlowError, OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError) as error:
+            raise Lost(f"{addr}{path}: {error!r}") from None
+        except orjson.JSONDecodeError as error:
+            raise Lost(f"{addr}{path}: answer is not JSON: {error}") from None
+        finally:
+            if not kept:
+                self._close(link)
+
+    async def _link(self, addr: str, seconds: float) -> _Link:
+        idle = self._idle.get(addr, [])
+        while idle:
+            link = idle.pop()
+            if trio.current_time() - link.idle_since < c.POOL_IDLE_S and not link.stream.socket.is_readable():
+                return link
+            self._close(link)
+        if self._open >= self.most:
+            raise NotSent("too many connections")
+        host, port = split_address(addr)
+        sock = trio.socket.socket()
+        self._open += 1
+        try:
+            with trio.fail_after(seconds):
+                await sock.connect((host, port))
+            return _Link(trio.SocketStream(sock), h11.Connection(h11.CLIENT))
+        except BaseException as error:
+            self._open -= 1
+            sock.close()
+            if isinstance(error, OSError | trio.TooSlowError):
+                raise NotSent(f"{addr}: {error!r}") from None
+            raise
+
+    async def _exchange(self, link: _Link, addr: str, method: str, path: str, payload: bytes) -> tuple[int, bytes]:
+        conn, stream = link.conn, link.stream
+        headers = [("Host", addr), ("Content-Length", str(len(payload))), ("Content-Type", "application/json")]
+        data = conn.send(h11.Request(method=method, target=path, headers=headers)) or b""
+        if payload:
+            data += conn.send(h11.Data(data=payload)) or b""
+        data += conn.send(h11.EndOfMessage()) or b""
+        await stream.send_all(data)
+        status, answer = 0, bytearray()
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                conn.receive_data(await stream.receive_some(c.READ_CHUNK_BYTES))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                answer += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                return status, bytes(answer)
+            elif isinstance(event, h11.ConnectionClosed):
+                raise h11.RemoteProtocolError("closed before the answer")
+
+    def _keep(self, addr: str, link: _Link) -> bool:
+        idle = self._idle.setdefault(addr, [])
+        if link.conn.our_state is not h11.DONE or link.conn.their_state is not h11.DONE or len(idle) >= c.POOL_IDLE_PER_PEER:
+            return False
+        link.conn.start_next_cycle()
+        link.idle_since = trio.current_time()
+        idle.append(link)
+        return True
+
+    def _close(self, link: _Link) -> None:
+        self._open -= 1
+        link.stream.socket.close()
+
+    def drop_idle(self) -> None:
+        """Close pooled connections that nobody used for a while."""
+        now = trio.current_time()
+        for addr in list(self._idle):
+            old = [link for link in self._idle[addr] if now - link.idle_since >= c.POOL_IDLE_S]
+            for link in old:
+                self._idle[addr].remove(link)
+                self._close(link)
+            if not self._idle[addr]:
+                del self._idle[addr]
--- /dev/null
+++ b/pepperlatch/http/server.py
@@ -0,0 +1,121 @@
+"""A small HTTP server: every request is answered by one async function, at a deadline."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import h11
+import orjson
+import trio
+
+from pepperlatch import constants as c
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Request:
+    method: str
+    path: str
+    body: bytes
+
+
+@dataclass(slots=True)
+class Response:
+    status: int
+    body: Any = None
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class Server:
+    """Serves one listener; holds at most `most` connections and refuses the rest."""
+
+    def __init__(self, handler: Handler, most: int) -> None:
+        self._handler = handler
+        self._most = most
+        self._open = 0
+
+    async def serve(self, host: str, port: int, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
+        await trio.serve_tcp(self._connection, port, host=host, backlog=256, task_status=task_status)
+
+    async def _connection(self, stream: trio.abc.Stream) -> None:
+        if self._open >= self._most:
+            await stream.aclose()
+            return
+        self._open += 1
+        try:
+            async with stream:
+                await self._requests(stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            self._open -= 1
+
+    async def _requests(self, stream: trio.abc.Stream) -> None:
+        conn = h11.Connection(h11.SERVER)
+        while True:
+            try:
+                request = await self._read(conn, stream)
+            except h11.RemoteProtocolError:
+                await self._refuse(conn, stream, 400)
+                return
+            if request is None:
+                return
+            response = await self._answer(request) if request.method else Response(400, {"error": "body too large"})
+            await self._write(conn, stream, response, close=not request.method)
+            if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+                return
+            conn.start_next_cycle()
+
+    async def _answer(self, request: Request) -> Response:
+        try:
+            return await self._handler(request)
+        except Exception:
+            log.exception("request %s %s failed", request.method, request.path)
+            return Response(500, {"error": "internal error"})
+
+    async def _event(self, conn: h11.Connection, stream: trio.abc.Stream, seconds: float) -> Any:
+        with trio.move_on_after(seconds):
+            while (event := conn.next_event()) is h11.NEED_DATA:
+                conn.receive_data(await stream.receive_some(c.READ_CHUNK_BYTES))
+            return event
+        return h11.ConnectionClosed()
+
+    async def _read(self, conn: h11.Connection, stream: trio.abc.Stream) -> Request | None:
+        """The next request; None if the peer is gone; method "" if its body is too large."""
+        head = await self._event(conn, stream, c.IDLE_CONNECTION_S)
+        if not isinstance(head, h11.Request):
+            return None
+        deadline = trio.current_time() + c.REQUEST_READ_S
+        body = bytearray()
+        while True:
+            event = await self._event(conn, stream, deadline - trio.current_time())
+            if isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > c.MAX_BODY_BYTES:
+                    return Request("", "", b"")
+            elif isinstance(event, h11.EndOfMessage):
+                return Request(head.method.decode("ascii"), head.target.decode("ascii", "replace"), bytes(body))
+            else:
+                return None
+
+    async def _refuse(self, conn: h11.Connection, stream: trio.abc.Stream, status: int) -> None:
+        if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            await self._write(conn, stream, Response(status, {"error": "malformed request"}), close=True)
+
+    async def _write(self, conn: h11.Connection, stream: trio.abc.Stream, response: Response, close: bool) -> None:
+        payload = b"" if response.body is None else orjson.dumps(response.body)
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(payload)))]
+        headers += list(response.headers.items())
+        if close:
+            headers.append(("Connection", "close"))
+        data = conn.send(h11.Response(status_code=response.status, headers=headers)) or b""
+        if payload:
+            data += conn.send(h11.Data(data=payload)) or b""
+        data += conn.send(h11.EndOfMessage()) or b""
+        with trio.move_on_after(c.REQUEST_READ_S):
+            await stream.send_all(data)
--- /dev/null
+++ b/pepperlatch/leadership.py
@@ -0,0 +1,120 @@
+"""Who leads: a key under a lease of the state service. The token is the revision of its write."""
+
+import logging
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import trio
+
+from pepperlatch import constants as c
+from pepperlatch import store, wire
+from pepperlatch.state import Away, LeaseGone, StateClient, Unsure
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Term:
+    """One time of leading. `checked_at`: when the last confirmed check was sent."""
+
+    token: int
+    lease: int
+    checked_at: float
+    hold_s: float
+    over: bool = False
+
+    def sure(self, now: float) -> bool:
+        """The lease cannot have ended yet: what cannot be taken back is allowed."""
+        return not self.over and now - self.checked_at < c.LEADER_LEASE_MS / 1000 * (1 - c.CLOCK_DRIFT) - 0.1
+
+    def may_answer(self, now: float) -> bool:
+        """Reports may be answered: whatever we keep alive is gone before a cancellation's bound."""
+        return not self.over and now - self.checked_at < self.hold_s
+
+
+def hold_seconds(cancel_s: float, lease_s: float) -> float:
+    return max(0.0, (cancel_s - lease_s * (1 + c.CLOCK_DRIFT)) * (1 - c.CLOCK_DRIFT) - c.HOLD_MARGIN_S)
+
+
+class Leadership:
+    def __init__(self, node: str, state: StateClient, replica: store.Replica, hold_s: float, clock: Callable[[], float], seed: int | None = None) -> None:
+        self._node = node
+        self._state = state
+        self._replica = replica
+        self._hold_s = hold_s
+        self._clock = clock
+        self._random = random.Random(seed)
+        self.term: Term | None = None
+        self.yield_until = 0.0
+
+    async def run(self, on_term: Callable[[Term | None], None]) -> None:
+        while True:
+            try:
+                term = await self._win()
+            except (Away, Unsure, LeaseGone):
+                await trio.sleep(c.STATE_RETRY_S)
+                continue
+            if term is None:
+                await trio.sleep(c.STATE_RETRY_S / 2)
+                continue
+            self.term = term
+            self._state.share(True)
+            log.info("leading with token %d", term.token)
+            on_term(term)
+            await self._keep(term)
+            term.over = True
+            self.term = None
+            self._state.share(False)
+            log.info("no longer leading with token %d", term.token)
+            on_term(None)
+
+    async def _win(self) -> Term | None:
+        replica = self._replica
+        if not replica.loaded or replica.leader is not None or self._clock() < self.yield_until:
+            return None
+        await trio.sleep(self._random.random() * c.ELECTION_JITTER_S)
+        if self._replica.leader is not None:
+            return None
+        lease = await self._state.grant(c.LEADER_LEASE_MS)
+        sent = self._clock()
+        write: dict[str, Any] = wire.put(store.LEADER, {"node": self._node}, lease)
+        outcome = await self._state.txn([wire.when(store.LEADER, 0)], [write], urgent=True)
+        if not outcome.applied:
+            await self._state.revoke(lease)
+            return None
+        return Term(outcome.revision, lease, sent, self._hold_s)
+
+    async def _keep(self, term: Term) -> None:
+        """Touch the lease until it is lost; nothing but a proof of loss ends a term."""
+        while not term.over:
+            sent = self._clock()
+            try:
+                await self._state.touch(term.lease, c.LEADER_TOUCH_S)
+                term.checked_at = sent
+                await trio.sleep(c.LEADER_TOUCH_S)
+            except LeaseGone:
+                return
+            except (Away, Unsure):
+                await trio.sleep(c.STATE_RETRY_S)
+
+    def check_key(self) -> None:
+        """Called after every change of the replica: a key that is not ours any more ends the term."""
+        term, leader = self.term, self._replica.leader
+        if term is None or self._replica.revision < term.token:
+            return
+        if leader is None or leader[1] != term.token:
+            term.over = True
+
+    async def resign(self, pause_s: float) -> None:
+        """Give the lease back, and let others win for a while."""
+        term = self.term
+        if term is None:
+            return
+        self.yield_until = self._clock() + pause_s
+        term.over = True
+        try:
+            await self._state.revoke(term.lease)
+        except (Away, Unsure):
+            log.info("lease %d could not be given back; it will end by itself", term.lease)
--- /dev/null
+++ b/pepperlatch/model.py
@@ -0,0 +1,161 @@
+"""What the leader knows: jobs, attempts, machines. Data and sums only; rules live in the policies."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+from pepperlatch.wire import JobSpec, MachineType, TaskReport, TaskState
+
+
+class Phase(Enum):
+    """How far a launch has come; it counts against room and limits in every phase."""
+
+    PLANNED = "planned"  # not sent, or surely not carried out
+    SENT = "sent"  # in flight to the worker, by command or in a report's answer
+    UNSURE = "unsure"  # a direct command without an answer: may be carried out minutes later
+    THERE = "there"  # a report has shown it
+
+
+class Status(Enum):
+    BOOTING = "booting"  # rented; its worker has not reported
+    JOINING = "joining"  # its record is being written; no launch before that
+    UP = "up"
+    LEAVING = "leaving"  # being returned to the cloud
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    job: "Job"
+    task: int
+    number: int
+    machine: "Machine"
+    planned_at: float
+    phase: Phase = Phase.PLANNED
+    state: TaskState | None = None
+    running_at: float | None = None
+    sent_seq: int = -1  # report in whose answer the launch was last sent; -1: sent directly
+    kill_grace: float | None = None  # wanted gone, with this time to save
+    kill_sent: float = -1.0
+
+    @property
+    def name(self) -> str:
+        return f"{self.job.spec.id}/{self.task}"
+
+    @property
+    def wanted(self) -> bool:
+        return self.kill_grace is None
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    spec: JobSpec
+    version: int
+    submitted: float
+    old: bool  # older than the term: an earlier leader may have started its tasks
+    done: set[int] = field(default_factory=set)
+    saved: set[int] = field(default_factory=set)  # finished tasks that the state service holds
+    live: dict[int, Attempt] = field(default_factory=dict)
+    waiting: deque[int] = field(default_factory=deque)
+    failed_on: set[str] = field(default_factory=set)
+    pause_s: float = 0.0
+    not_before: float = 0.0
+    prefer: dict[int, "Machine"] = field(default_factory=dict)  # where a drain wants a task to go
+    reason: str = "waiting to be placed"
+    reason_since: float = 0.0
+    finishing: bool = False  # the write that makes it done is on its way
+    over: bool = False  # cancelled or done: what still runs has to go
+
+    def running(self) -> int:
+        return sum(1 for a in self.live.values() if a.state is TaskState.RUNNING)
+
+    def explain(self, reason: str, now: float) -> None:
+        if reason != self.reason:
+            self.reason, self.reason_since = reason, now
+
+
+@dataclass(slots=True, eq=False)
+class Machine:
+    name: str
+    type: MachineType
+    zone: str
+    spot: bool
+    addr: str
+    status: Status
+    born: float
+    free_cpus: float = 0.0
+    free_gpus: float = 0.0
+    free_gb: float = 0.0
+    attempts: dict[tuple[str, int], Attempt] = field(default_factory=dict)
+    ended: dict[tuple[str, int], TaskReport] = field(default_factory=dict)
+    sticky: set[tuple[str, int]] = field(default_factory=set)  # launches that may still arrive: never reaped
+    images: dict[str, float] = field(default_factory=dict)  # fetched, most recently used last
+    session: int = 0
+    seq: int = -1
+    seen_at: float = -1.0
+    answered_at: float = -1.0
+    hire: str | None = None
+    up_at: float | None = None
+    idle_since: float | None = None
+    notice_at: float | None = None  # when the cloud takes it
+    draining: str | None = None
+    quarantined: bool = False
+    failed_tasks: set[str] = field(default_factory=set)
+    failed_at: float = -1.0
+    pace: list[float] = field(default_factory=list)  # run time over usual run time of tasks that finished
+    probes: int = 0
+    probing: bool = False
+    sending: bool = False
+    send_after: float = 0.0
+    listed: bool = False  # the cloud has listed it
+
+    def __post_init__(self) -> None:
+        self.free_cpus, self.free_gpus, self.free_gb = self.type.cpus, self.type.gpus, self.type.memory_gb
+
+    def take(self, spec: JobSpec) -> None:
+        self.free_cpus -= spec.cpus
+        self.free_gpus -= spec.gpus
+        self.free_gb -= spec.memory_gb
+
+    def give(self, spec: JobSpec) -> None:
+        self.free_cpus += spec.cpus
+        self.free_gpus += spec.gpus
+        self.free_gb += spec.memory_gb
+
+    def has_room(self, spec: JobSpec) -> bool:
+        return self.free_cpus >= spec.cpus - EPS and self.free_gpus >= spec.gpus - EPS and self.free_gb >= spec.memory_gb - EPS
+
+    def used_share(self) -> float:
+        share = 1 - self.free_cpus / self.type.cpus if self.type.cpus else 0.0
+        return max(share, 1 - self.free_gpus / self.type.gpus) if self.type.gpus else share
+
+    def price(self) -> float:
+        return self.type.spot_price if self.spot else self.type.price
+
+    def holds_image(self, spec: JobSpec) -> bool:
+        return spec.image_gb <= 0 or spec.image in self.images
+
+    def fetches_image(self, spec: JobSpec) -> bool:
+        return any(a.job.spec.image == spec.image and a.state in (None, TaskState.FETCHING) for a in self.attempts.values())
+
+    def used_image(self, spec: JobSpec) -> None:
+        """Keep the same most-recently-used list as the worker does."""
+        self.images.pop(spec.image, None)
+        self.images[spec.image] = spec.image_gb
+        while sum(self.images.values()) > self.type.cache_gb and len(self.images) > 1:
+            self.images.pop(next(iter(self.images)))
+
+
+EPS = 1e-6
+
+
+def split_task(name: str) -> tuple[str, int] | None:
+    job_id, _, task = name.rpartition("/")
+    return (job_id, int(task)) if job_id and task.isdigit() else None
+
+
+def allowed_on(spec: JobSpec, type_name: str, zone: str, spot: bool) -> bool:
+    return (spec.spot or not spot) and (spec.zone is None or spec.zone == zone) and (spec.types is None or type_name in spec.types)
+
+
+def fits_type(spec: JobSpec, kind: MachineType) -> bool:
+    return spec.cpus <= kind.cpus + EPS and spec.gpus <= kind.gpus + EPS and spec.memory_gb <= kind.memory_gb + EPS
--- /dev/null
+++ b/pepperlatch/placement.py
@@ -0,0 +1,73 @@
+"""Where a task goes: a machine that has or is fetching the image, then the fullest that fits."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from pepperlatch.model import Job, Machine, Status, allowed_on
+from pepperlatch.wire import Kind
+
+
+def usable(machine: Machine, now: float, fresh_s: float) -> bool:
+    """Takes new tasks: up, recorded, heard of lately, not on its way out."""
+    return (
+        machine.status is Status.UP
+        and machine.draining is None
+        and not machine.quarantined
+        and machine.notice_at is None
+        and now - machine.seen_at <= fresh_s
+    )
+
+
+def zone_bound(job: Job) -> int:
+    """How many tasks of the job one zone may hold."""
+    return (job.spec.tasks + 1) // 2 if job.spec.spread else job.spec.tasks
+
+
+def zones_open(job: Job, zones: Iterable[str]) -> list[str]:
+    """Zones where one more task of the job may start, given where its other tasks are."""
+    used = Counter(a.machine.zone for a in job.live.values())
+    if job.spec.one_zone and used:
+        return [zone for zone in used if len(used) == 1]
+    return [zone for zone in zones if used[zone] < zone_bound(job)]
+
+
+def rank(machine: Machine, job: Job, used: Counter[str]) -> tuple[float, ...]:
+    """Smaller is better. Replicas go apart from their siblings first: one loss must cost least."""
+    spec = job.spec
+    image = 0 if machine.holds_image(spec) else 1 if machine.fetches_image(spec) else 2
+    kind = 0 if machine.spot == spec.spot else 1
+    apart = used[machine.name] if spec.kind is Kind.SERVICE else 0
+    return (apart, is_slow(machine), image, kind, machine.free_cpus, machine.born)
+
+
+def is_slow(machine: Machine) -> bool:
+    from pepperlatch import constants as c
+
+    recent = machine.pace[-c.SLOW_SAMPLES :]
+    return len(recent) >= c.SLOW_SAMPLES and sorted(recent)[len(recent) // 2] > c.SLOW_FACTOR
+
+
+def choose(job: Job, machines: Iterable[Machine], zones: Iterable[str]) -> Machine | None:
+    """The best of the usable machines for the job's next task."""
+    open_zones = set(zones_open(job, zones))
+    spec = job.spec
+    used = Counter(a.machine.name for a in job.live.values()) if spec.kind is Kind.SERVICE else Counter()
+    fitting = [m for m in machines if m.zone in open_zones and m.has_room(spec) and allowed_on(spec, m.type.name, m.zone, m.spot)]
+    return min(fitting, key=lambda m: rank(m, job, used), default=None)
+
+
+def choose_zone(job: Job, machines: list[Machine], zones: Iterable[str]) -> str | None:
+    """For jobs that must stay in one zone: the zone with the most room for their tasks."""
+    room = {zone: slots(job, [m for m in machines if m.zone == zone]) for zone in zones}
+    best = max(room, key=lambda zone: room[zone], default=None)
+    return best if best is not None and room[best] > 0 else None
+
+
+def slots(job: Job, machines: Iterable[Machine]) -> int:
+    return sum(machine_slots(job, m) for m in machines if allowed_on(job.spec, m.type.name, m.zone, m.spot))
+
+
+def machine_slots(job: Job, machine: Machine) -> int:
+    spec = job.spec
+    pairs = ((spec.cpus, machine.free_cpus), (spec.gpus, machine.free_gpus), (spec.memory_gb, machine.free_gb))
+    return max(0, min((int((free + 1e-6) // need) for need, free in pairs if need > 0), default=spec.tasks))
--- /dev/null
+++ b/pepperlatch/planner.py
@@ -0,0 +1,269 @@
+"""One round of planning: order the jobs, place, preempt, rent, drain, return. No I/O, no clock."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from pepperlatch import constants as c
+from pepperlatch import draining, fleet, placement, quota
+from pepperlatch.cluster import Cluster
+from pepperlatch.fleet import Bin, Need, Offer
+from pepperlatch.model import Attempt, Job, Machine, Phase, Status
+from pepperlatch.tuning import Tuning
+from pepperlatch.wire import RANK, Kind, TaskState
+
+
+@dataclass(slots=True)
+class Planner:
+    cluster: Cluster
+    tuning: Tuning
+    blocked: dict[Offer, float] = field(default_factory=dict)  # refused offers, until when
+    pauses: dict[Offer, float] = field(default_factory=dict)
+    asked: Counter[Offer] = field(default_factory=Counter)  # machines of hires on their way
+    drained_at: float = 0.0
+    drains_done: int = 0
+    drains_cancelled: int = 0
+    needs: list[Need] = field(default_factory=list)
+
+    # --- placing ----------------------------------------------------------------------------------
+
+    def fresh_s(self) -> float:
+        return 2.2 * self.cluster.params.workers.report_s
+
+    def usable(self, now: float) -> list[Machine]:
+        unaccounted = self.cluster.unaccounted
+        return [
+            m for m in self.cluster.machines.values()
+            if m.name not in unaccounted and placement.usable(m, now, self.fresh_s())
+        ]  # fmt: skip
+
+    def ordered(self, now: float) -> list[Job]:
+        jobs = [j for j in self.cluster.jobs.values() if not j.over]
+        inside = quota.within_guarantee(jobs, self.cluster.quota.teams)
+
+        def key(job: Job) -> tuple[float, ...]:
+            spec = job.spec
+            due = job.submitted + spec.deadline_s if spec.deadline_s else float("inf")
+            return (spec.id not in inside, RANK[spec.priority], due, job.version)
+
+        return sorted((j for j in jobs if j.waiting), key=key)
+
+    def place_all(self, now: float) -> None:
+        """Start what can start; `needs` keeps what found no room."""
+        cluster = self.cluster
+        cluster.count_hidden()
+        rebuilding = cluster.rebuilding()
+        machines = self.usable(now)
+        self.needs = []
+        for job in self.ordered(now):
+            if rebuilding and job.old:
+                job.explain("controllers are rebuilding their picture", now)
+            elif now < job.not_before:
+                job.explain("failed before, pausing", now)
+            elif job.spec.kind is Kind.GANG:
+                self._place_gang(job, machines, now)
+            else:
+                self._place_tasks(job, machines, now)
+        cluster.dirty = False
+
+    def _place_tasks(self, job: Job, machines: list[Machine], now: float) -> None:
+        cluster = self.cluster
+        room = cluster.quota.room(job.spec)
+        zones = cluster.params.zones
+        if job.spec.one_zone and not job.live:
+            best = placement.choose_zone(job, machines, zones)
+            zones = [best] if best else []
+        while job.waiting and room > 0:
+            machine = self._preferred(job, machines, zones) or placement.choose(job, machines, zones)
+            if machine is None:
+                break
+            cluster.place(job, job.waiting.popleft(), machine, now)
+            room -= 1
+        if job.waiting:
+            self._unplaced(job, min(room, len(job.waiting)), now)
+
+    def _preferred(self, job: Job, machines: list[Machine], zones: list[str]) -> Machine | None:
+        """Where a drain promised the next task a place."""
+        target = job.prefer.pop(job.waiting[0], None)
+        return placement.choose(job, [target], zones) if target is not None and target in machines else None
+
+    def _place_gang(self, job: Job, machines: list[Machine], now: float) -> None:
+        """All tasks or none, under one attempt number."""
+        cluster, spec = self.cluster, job.spec
+        if job.live:
+            return
+        if cluster.quota.room(spec) < spec.tasks:
+            job.explain("team limit", now)
+            return
+        zones = cluster.params.zones
+        if spec.one_zone:
+            best = placement.choose_zone(job, machines, zones)
+            zones = [best] if best else []
+        number = cluster.new_number()
+        placed: list[Attempt] = []
+        while job.waiting and (machine := placement.choose(job, machines, zones)) is not None:
+            placed.append(cluster.place(job, job.waiting.popleft(), machine, now, number))
+        if job.waiting:
+            for attempt in placed:
+                cluster.undo(attempt)
+            self._unplaced(job, spec.tasks, now)
+
+    def _unplaced(self, job: Job, count: int, now: float) -> None:
+        if count <= 0:
+            job.explain("team limit", now)
+            return
+        self.needs.append(Need(job, count, dict(Counter(a.machine.zone for a in job.live.values()))))
+
+    # --- preempting -------------------------------------------------------------------------------
+
+    def preempt(self, now: float) -> None:
+        """Make room for what may preempt, stopping the tasks that lose least."""
+        left = c.PREEMPT_MOST
+        inside = quota.within_guarantee((j for j in self.cluster.jobs.values() if not j.over), self.cluster.quota.teams)
+        stopping = sum(1 for m in self.cluster.machines.values() for a in m.attempts.values() if not a.wanted)
+        for need in self.needs:
+            job = need.job
+            if left <= 0 or stopping > 0 or job.spec.kind is Kind.GANG:
+                return
+            if RANK[job.spec.priority] > 1 and job.spec.id not in inside:
+                continue
+            for _ in range(min(need.count, left)):
+                victims = self._victims(job, job.spec.id in inside, now)
+                if not victims:
+                    break
+                for victim in victims:
+                    self.cluster.stop(victim, victim.job.spec.save_s)
+                left -= len(victims)
+
+    def _may_stop(self, victim: Attempt, job: Job, guaranteed: bool) -> bool:
+        other = victim.job.spec
+        if not victim.wanted or victim.phase is not Phase.THERE or other.kind is not Kind.ARRAY:
+            return False
+        if RANK[other.priority] > RANK[job.spec.priority]:
+            return True
+        return guaranteed and other.team != job.spec.team and self.cluster.quota.over_guarantee(other.team)
+
+    def _victims(self, job: Job, guaranteed: bool, now: float) -> list[Attempt]:
+        best: tuple[float, list[Attempt]] | None = None
+        zones = set(placement.zones_open(job, self.cluster.params.zones))
+        for machine in self.usable(now):
+            if machine.zone not in zones or not placement.allowed_on(job.spec, machine.type.name, machine.zone, machine.spot):
+                continue
+            victims = self._enough(job, machine, guaranteed, now)
+            if victims:
+                cost = sum(lost_work(a, now) for a in victims)
+                if best is None or cost < best[0]:
+                    best = (cost, victims)
+        return best[1] if best else []
+
+    def _enough(self, job: Job, machine: Machine, guaranteed: bool, now: float) -> list[Attempt]:
+        spec = job.spec
+        free = [machine.free_cpus, machine.free_gpus, machine.free_gb]
+        need = (spec.cpus, spec.gpus, spec.memory_gb)
+        victims: list[Attempt] = []
+        for victim in sorted(machine.attempts.values(), key=lambda a: lost_work(a, now)):
+            if all(f >= n - 1e-6 for f, n in zip(free, need, strict=True)):
+                return victims
+            if self._may_stop(victim, job, guaranteed):
+                victims.append(victim)
+                gains = (victim.job.spec.cpus, victim.job.spec.gpus, victim.job.spec.memory_gb)
+                free = [f + g for f, g in zip(free, gains, strict=True)]
+        return victims if all(f >= n - 1e-6 for f, n in zip(free, need, strict=True)) else []
+
+    # --- renting ----------------------------------------------------------------------------------
+
+    def booting_bins(self, now: float) -> list[Bin]:
+        bins = [fleet.bin_of(Offer(m.type.name, m.zone, m.spot), m.type) for m in self.cluster.machines.values() if self._coming(m, now)]
+        for offer, count in self.asked.items():
+            bins += [fleet.bin_of(offer, self.cluster.types[offer.type]) for _ in range(count)]
+        return bins
+
+    def _coming(self, machine: Machine, now: float) -> bool:
+        if machine.status is Status.JOINING:
+            return True
+        return machine.status is Status.BOOTING and now - machine.born < 1.6 * machine.type.boot_s + 5
+
+    def rent(self, now: float) -> list[Offer]:
+        """What to ask the cloud for, after counting on what is already booting."""
+        needs = [Need(n.job, n.count, dict(n.spread)) for n in self.needs]
+        for room in self.booting_bins(now):
+            room.fill(needs)
+        for need in self.needs:
+            need.job.explain("machines are booting", now)
+        blocked = {offer for offer, until in self.blocked.items() if until > now}
+        chosen = fleet.choose(needs, list(self.cluster.types.values()), blocked, c.HIRE_COUNT_MOST)
+        for need in needs:
+            if need.count > 0:
+                need.job.explain("no capacity in the allowed zones", now)
+        return chosen
+
+    def refused(self, offer: Offer, now: float) -> None:
+        pause = min(c.NO_CAPACITY_PAUSE_MOST_S, max(c.NO_CAPACITY_PAUSE_S, self.pauses.get(offer, 0.0) * 2))
+        self.pauses[offer] = pause
+        self.blocked[offer] = now + pause
+
+    def granted(self, offer: Offer) -> None:
+        self.pauses.pop(offer, None)
+
+    # --- returning --------------------------------------------------------------------------------
+
+    def idle(self, now: float) -> list[Machine]:
+        """Machines without tasks that cost more than they may save."""
+        wanted = bool(self.needs)
+        out = []
+        for machine in self.cluster.machines.values():
+            if machine.status is not Status.UP or machine.attempts or machine.idle_since is None:
+                continue
+            if machine.quarantined or machine.notice_at is not None or machine.draining is not None:
+                out.append(machine)
+            elif not wanted and now - machine.idle_since >= self.tuning["idle_s"] and now - machine.born >= c.MIN_CHARGE_S - 5:
+                out.append(machine)
+        return out
+
+    # --- draining ---------------------------------------------------------------------------------
+
+    def drain(self, now: float) -> None:
+        if now - self.drained_at < self.tuning["drain_every_s"]:
+            return
+        self.drained_at = now
+        machines = self.usable(now)
+        choice = draining.choose(machines, self.tuning["drain_threshold"], self.tuning["drain_age_s"], now, self._needed)
+        if choice is None:
+            return
+        self.drains_done += 1
+        choice.machine.draining = "underused"
+        self.cluster.to_record.add(choice.machine)
+        for attempt, target in choice.moves:
+            attempt.job.prefer[attempt.task] = target
+            self.cluster.stop(attempt, attempt.job.spec.save_s)
+
+    def _needed(self, machine: Machine) -> bool:
+        """Whether a waiting task would fit there."""
+        return any(
+            machine.has_room(n.job.spec) and placement.allowed_on(n.job.spec, machine.type.name, machine.zone, machine.spot)
+            for n in self.needs
+        )
+
+    def notices(self, now: float) -> None:
+        """A spot machine about to be taken is drained; what will finish in time is left alone."""
+        for machine in self.cluster.machines.values():
+            if machine.notice_at is None:
+                continue
+            for attempt in list(machine.attempts.values()):
+                if attempt.wanted and not self._finishes(attempt, machine.notice_at, now):
+                    self.cluster.stop(attempt, attempt.job.spec.save_s)
+
+    def _finishes(self, attempt: Attempt, at: float, now: float) -> bool:
+        if attempt.job.spec.estimate_s <= 0:
+            return False
+        began = attempt.running_at if attempt.running_at is not None else now
+        return began + attempt.job.spec.estimate_s <= at
+
+
+def lost_work(attempt: Attempt, now: float) -> float:
+    """CPU seconds that stopping the task throws away."""
+    if attempt.running_at is None or attempt.state is not TaskState.RUNNING:
+        return 0.0
+    ran = now - attempt.running_at
+    if attempt.job.spec.checkpoint_s > 0:
+        ran = min(ran, attempt.job.spec.save_s)
+    return ran * (attempt.job.spec.cpus + attempt.job.spec.gpus)
--- /dev/null
+++ b/pepperlatch/quota.py
@@ -0,0 +1,68 @@
+"""Teams: what they use, may use and are guaranteed."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from pepperlatch.model import EPS, Job
+from pepperlatch.settings import Team
+from pepperlatch.wire import JobSpec, Kind
+
+
+@dataclass(slots=True)
+class Use:
+    cpus: float = 0.0
+    gpus: float = 0.0
+
+    def add(self, spec: JobSpec, tasks: int) -> None:
+        self.cpus += spec.cpus * tasks
+        self.gpus += spec.gpus * tasks
+
+
+@dataclass(slots=True)
+class Quota:
+    """Use per team, counted from sending a launch until the task is proven gone."""
+
+    teams: dict[str, Team]
+    used: dict[str, Use] = field(default_factory=dict)
+    hidden: dict[str, Use] = field(default_factory=dict)  # what unseen machines may be running
+
+    def of(self, team: str) -> Use:
+        return self.used.setdefault(team, Use())
+
+    def room(self, spec: JobSpec) -> int:
+        """How many more tasks like this the team's limit allows now."""
+        team = self.teams.get(spec.team)
+        if team is None:
+            return 0
+        used, hidden = self.of(spec.team), self.hidden.get(spec.team, Use())
+        rooms = [
+            int((most - now + EPS) // each)
+            for each, most, now in (
+                (spec.cpus, team.cpus_max, used.cpus + hidden.cpus),
+                (spec.gpus, team.gpus_max, used.gpus + hidden.gpus),
+            )
+            if each > 0
+        ]
+        return max(0, min(rooms, default=spec.tasks))
+
+    def over_guarantee(self, team_name: str) -> bool:
+        team, used = self.teams.get(team_name), self.of(team_name)
+        return team is None or used.cpus > team.cpus + EPS or used.gpus > team.gpus + EPS
+
+
+def can_ever_run(spec: JobSpec, team: Team) -> bool:
+    tasks = 1 if spec.kind is Kind.ARRAY else spec.tasks
+    return spec.cpus * tasks <= team.cpus_max + EPS and spec.gpus * tasks <= team.gpus_max + EPS
+
+
+def within_guarantee(jobs: Iterable[Job], teams: dict[str, Team]) -> set[str]:
+    """Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs."""
+    sums: dict[str, Use] = {}
+    inside: set[str] = set()
+    for job in sorted(jobs, key=lambda j: j.version):
+        team = teams.get(job.spec.team)
+        total = sums.setdefault(job.spec.team, Use())
+        total.add(job.spec, job.spec.tasks - len(job.done))
+        if team is not None and total.cpus <= team.cpus + EPS and total.gpus <= team.gpus + EPS:
+            inside.add(job.spec.id)
+    return inside
--- /dev/null
+++ b/pepperlatch/state.py
@@ -0,0 +1,135 @@
+"""Client of the state service: keys, transactions, leases and watches, inside this node's budget."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import trio
+
+from pepperlatch import constants as c
+from pepperlatch import wire
+from pepperlatch.budget import Budget
+from pepperlatch.http.client import Lost, Network, NotSent
+from pepperlatch.settings import State
+
+
+class Away(Exception):
+    """The request was surely not carried out: refused, or no connection."""
+
+
+class Unsure(Exception):
+    """No answer: it may have been carried out, or may yet be."""
+
+
+class LeaseGone(Exception):
+    """The lease has ended."""
+
+
+@dataclass(slots=True)
+class Outcome:
+    """Of a transaction: its revision if it was applied, else the keys whose versions did not match."""
+
+    revision: int
+    failed: list[str] = field(default_factory=list)
+
+    @property
+    def applied(self) -> bool:
+        return not self.failed
+
+
+class StateClient:
+    def __init__(self, network: Network, addr: str, limits: State, nodes: int, clock: Callable[[], float]) -> None:
+        self._network = network
+        self._addr = addr
+        self._limits = limits
+        self._nodes = nodes
+        self._clock = clock
+        self._requests = Budget(limits.rps)
+        self._writes = Budget(limits.write_rps)
+        self.share(False)
+        self.good_at = clock()
+        self.bad_at = -1.0
+
+    def share(self, leads: bool) -> None:
+        """The budgets are for all nodes together: one part for the leader, one for the others."""
+        share = c.STATE_SHARE_LEADER if leads else c.STATE_SHARE_OTHERS / max(1, self._nodes - 1)
+        self._requests.rate = self._limits.rps * share
+        self._writes.rate = self._limits.write_rps * share
+
+    def reachable(self) -> bool:
+        return self.good_at >= self.bad_at
+
+    async def _call(self, method: str, path: str, body: Any = None, seconds: float = c.STATE_REQUEST_S, urgent: bool = False) -> tuple[int, Any]:
+        wait = self._requests.wait_for(self._clock(), 1.0, urgent)
+        if wait > 0:
+            await trio.sleep(wait)
+        try:
+            status, answer = await self._network.request(self._addr, method, path, body, seconds)
+        except NotSent as error:
+            self.bad_at = self._clock()
+            raise Away(str(error)) from None
+        except Lost as error:
+            self.bad_at = self._clock()
+            raise Unsure(str(error)) from None
+        if status in (429, 503):
+            if status == 503:
+                self.bad_at = self._clock()
+            raise Away(f"{path}: {status}")
+        self.good_at = self._clock()
+        return status, answer
+
+    async def get(self, key: str) -> wire.KeyValue | None:
+        status, answer = await self._call("GET", f"{wire.KEYS}/{key}")
+        return _checked(answer, wire.KeyValue) if status == 200 else None
+
+    async def read_all(self, prefix: str) -> tuple[int, list[wire.KeyValue]]:
+        """All pairs below a prefix, with the revision of the first page."""
+        pairs: list[wire.KeyValue] = []
+        revision, after = -1, ""
+        while True:
+            _, answer = await self._call("GET", wire.keys_path(prefix, after, c.LIST_PAGE))
+            page = _checked(answer, wire.KeyPage)
+            revision = page.revision if revision < 0 else revision
+            pairs += page.items
+            if not page.more or not page.items:
+                return revision, pairs
+            after = page.items[-1].key
+
+    async def changes(self, prefix: str, after: int, wait_ms: int) -> wire.Changes | None:
+        """What changed since; None if the service no longer keeps changes so old."""
+        seconds = c.STATE_REQUEST_S + wait_ms / 1000
+        status, answer = await self._call("GET", wire.watch_path(prefix, after, wait_ms), None, seconds)
+        return None if status == 410 else _checked(answer, wire.Changes)
+
+    async def txn(self, conditions: list[dict[str, Any]], writes: list[dict[str, Any]], urgent: bool = False) -> Outcome:
+        wait = self._writes.wait_for(self._clock(), len(writes), urgent)
+        if wait > 0:
+            await trio.sleep(wait)
+        status, answer = await self._call("POST", wire.TXN, wire.txn_body(conditions, writes), urgent=urgent)
+        if status == 200:
+            return Outcome(wire.revision_of(answer))
+        if status == 409:
+            return Outcome(wire.revision_of(answer), wire.failed_keys(answer))
+        if isinstance(answer, dict) and answer.get("error") == "no such lease":
+            raise LeaseGone
+        raise Away(f"transaction: {status} {answer}")
+
+    async def grant(self, ttl_ms: int) -> int:
+        _, answer = await self._call("POST", wire.LEASES, wire.lease_body(ttl_ms), urgent=True)
+        return wire.lease_of(answer)
+
+    async def touch(self, lease: int, seconds: float) -> None:
+        status, _ = await self._call("POST", f"{wire.LEASES}/{lease}/{wire.TOUCH}", {}, seconds, urgent=True)
+        if status == 404:
+            raise LeaseGone
+
+    async def revoke(self, lease: int) -> None:
+        await self._call("DELETE", f"{wire.LEASES}/{lease}", urgent=True)
+
+
+def _checked(answer: Any, kind: Any) -> Any:
+    try:
+        return wire.convert(answer, kind)
+    except msgspec.ValidationError as error:
+        raise Away(f"unexpected answer: {error}") from None
--- /dev/null
+++ b/pepperlatch/users.py
@@ -0,0 +1,242 @@
+"""What users ask: submit, look up, cancel. Served by every node, decided by the state service."""
+
+import logging
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import orjson
+import trio
+
+from pepperlatch import constants as c
+from pepperlatch import store, wire
+from pepperlatch.http.server import Request, Response
+from pepperlatch.model import allowed_on, fits_type
+from pepperlatch.quota import can_ever_run
+from pepperlatch.settings import Settings
+from pepperlatch.state import Away, StateClient, Unsure
+from pepperlatch.store import Entry, Replica, Watched
+from pepperlatch.wire import JobSpec, JobState, MachineType
+
+log = logging.getLogger(__name__)
+MAX_TASKS = 100_000  # the protocol's limit
+MAX_AMOUNT = 1e9  # any amount above is a mistake of the sender
+
+
+class Malformed(Exception):
+    """Answered with 400."""
+
+
+class Impossible(Exception):
+    """Answered with 422."""
+
+
+@dataclass(slots=True)
+class Progress:
+    """What the leader shows users beyond the protocol; may be a little old, never needed to answer."""
+
+    running: int
+    done: int
+    reason: str
+    waited_s: float
+
+
+@dataclass(slots=True)
+class _Submission:
+    spec: JobSpec
+    settled: trio.Event = field(default_factory=trio.Event)
+    created: bool | None = None
+
+
+def parse_job(body: bytes) -> Any:
+    try:
+        value = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise Malformed(f"not JSON: {error}") from None
+    if not isinstance(value, dict):
+        raise Malformed("not an object")
+    return value
+
+
+def check_job(value: Any) -> JobSpec:
+    try:
+        spec: JobSpec = wire.convert(value, JobSpec)
+    except msgspec.ValidationError as error:
+        raise Malformed(str(error)) from None
+    if not store.is_job_id(spec.id):
+        raise Malformed("not a job id")
+    if not 1 <= spec.tasks <= MAX_TASKS:
+        raise Malformed("the number of tasks is out of range")
+    amounts = (spec.cpus, spec.gpus, spec.memory_gb, spec.image_gb, spec.estimate_s, spec.checkpoint_s, spec.save_s, spec.deadline_s or 0.0)
+    if not all(math.isfinite(amount) and 0 <= amount <= MAX_AMOUNT for amount in amounts):
+        raise Malformed("an amount is negative or not finite")
+    return spec
+
+
+def check_possible(spec: JobSpec, settings: Settings, types: list[MachineType]) -> None:
+    team = next((t for t in settings.params.teams if t.name == spec.team), None)
+    if team is None:
+        raise Impossible("unknown team")
+    if not can_ever_run(spec, team):
+        raise Impossible("needs more than the team's limit")
+    if not any(fits_type(spec, t) and any(allowed_on(spec, t.name, zone, False) for zone in t.zones) for t in types):
+        raise Impossible("a task fits no allowed machine type")
+
+
+def later() -> Response:
+    return Response(503, {"error": "cannot be decided now"}, {"Retry-After": str(c.RETRY_AFTER_S)})
+
+
+class Users:
+    def __init__(
+        self, settings: Settings, watched: Watched, state: StateClient, wall: Callable[[], float],
+        progress: Callable[[str], Progress | None],
+    ) -> None:  # fmt: skip
+        self._settings = settings
+        self._watched = watched
+        self._replica: Replica = watched.replica
+        self._state = state
+        self._wall = wall
+        self._progress = progress
+        self._queue: dict[str, _Submission] = {}
+        self._wake = trio.Event()
+        self.types: list[MachineType] = []  # as this node asked the cloud; the state service's copy serves as well
+
+    async def handle(self, request: Request) -> Response:
+        path = request.path.partition("?")[0]
+        try:
+            if path == wire.JOBS and request.method == "POST":
+                return await self.submit(request.body)
+            prefix, _, rest = path.partition(wire.JOBS + "/")
+            if prefix == "" and rest:
+                job_id, _, verb = rest.partition("/")
+                if verb == wire.CANCEL and request.method == "POST":
+                    return await self.cancel(job_id)
+                if verb == "" and request.method == "GET":
+                    return await self.poll(job_id)
+        except (Away, Unsure):
+            return later()
+        return Response(404, {"error": "no such path"})
+
+    # --- submitting -------------------------------------------------------------------------------
+
+    async def submit(self, body: bytes) -> Response:
+        try:
+            value = parse_job(body)
+        except Malformed as error:
+            return Response(400, {"error": str(error)})
+        known = await self._known(wire.job_id_of(value))
+        if known is not None:
+            return known
+        try:
+            spec = check_job(value)
+            types = self._replica.types or self.types
+            if not types:
+                return later()
+            check_possible(spec, self._settings, types)
+        except Malformed as error:
+            return Response(400, {"error": str(error)})
+        except Impossible as error:
+            return Response(422, {"error": str(error)})
+        return await self._create(spec)
+
+    async def _known(self, job_id: object) -> Response | None:
+        """A known job's present state; it counts more than what the body now says."""
+        if not store.is_job_id(job_id):
+            return None
+        assert isinstance(job_id, str)
+        entry = self._replica.jobs.get(job_id)
+        if entry is None or entry.state not in wire.FINAL:
+            await self._watched.sync()
+            entry = self._replica.jobs.get(job_id)
+        return Response(200, self._describe(job_id, entry)) if entry is not None else None
+
+    async def _create(self, spec: JobSpec) -> Response:
+        submission = self._queue.setdefault(spec.id, _Submission(spec))
+        self._wake.set()
+        with trio.move_on_after(c.SUBMIT_WAIT_S):
+            await submission.settled.wait()
+        if submission.created is None:
+            return later()
+        if submission.created:
+            return Response(201, wire.job_answer(spec.id, JobState.QUEUED))
+        return await self._known(spec.id) or later()
+
+    async def create_loop(self) -> None:
+        """Submissions that wait together are committed together."""
+        most = self._settings.params.state.txn_ops
+        while True:
+            if not self._queue:
+                self._wake = trio.Event()
+                await self._wake.wait()
+            batch: list[_Submission] = []
+            size = 0
+            for submission in self._queue.values():
+                size += 300 + len(orjson.dumps(wire.to_plain(submission.spec)))
+                if batch and (len(batch) >= most or size > c.TXN_BYTES):
+                    break
+                batch.append(submission)
+            await self._commit(batch)
+            for submission in batch:
+                self._queue.pop(submission.spec.id, None)
+                submission.settled.set()
+
+    async def _commit(self, batch: list[_Submission]) -> None:
+        while batch:
+            keys = [store.JOB + s.spec.id for s in batch]
+            records = [store.JobRecord(JobState.QUEUED.value, s.spec, s.spec.tasks, self._wall()) for s in batch]
+            writes = [wire.put(key, wire.to_plain(record)) for key, record in zip(keys, records, strict=True)]
+            try:
+                outcome = await self._state.txn([wire.when(key, 0) for key in keys], writes)
+            except (Away, Unsure) as error:
+                log.debug("submissions put off: %s", error)
+                return
+            if outcome.applied:
+                for submission in batch:
+                    submission.created = True
+                return
+            for submission, key in zip(batch, keys, strict=True):
+                if key in outcome.failed:
+                    submission.created = False
+            batch = [s for s in batch if s.created is None]
+
+    # --- looking up and cancelling ----------------------------------------------------------------
+
+    def _describe(self, job_id: str, entry: Entry) -> dict[str, Any]:
+        tasks = entry.record.tasks
+        if entry.state in wire.FINAL:
+            return wire.job_answer(job_id, entry.state, tasks if entry.state is JobState.DONE else 0, 0)
+        progress = self._progress(job_id)
+        if progress is None:
+            return wire.job_answer(job_id, JobState.QUEUED, 0, 0)
+        state = JobState.RUNNING if progress.running else JobState.QUEUED
+        answer = wire.job_answer(job_id, state, progress.done, progress.running)
+        answer["reason"] = progress.reason
+        answer["reason_for_s"] = round(progress.waited_s, 1)
+        return answer
+
+    async def poll(self, job_id: str) -> Response:
+        if not store.is_job_id(job_id):
+            return Response(404, {"error": "no such job"})
+        return await self._known(job_id) or Response(404, {"error": "no such job"})
+
+    async def cancel(self, job_id: str) -> Response:
+        """Cancelled only once the state service holds that; a job already done stays done."""
+        if not store.is_job_id(job_id):
+            return Response(404, {"error": "no such job"})
+        with trio.move_on_after(c.SUBMIT_WAIT_S):
+            while True:
+                await self._watched.sync()
+                entry = self._replica.jobs.get(job_id)
+                if entry is None:
+                    return Response(404, {"error": "no such job"})
+                if entry.state in wire.FINAL:
+                    return Response(200, wire.job_answer(job_id, entry.state))
+                record = store.JobRecord(JobState.CANCELLED.value, entry.record.spec, entry.record.tasks, entry.record.at)
+                key = store.JOB + job_id
+                outcome = await self._state.txn([wire.when(key, entry.version)], [wire.put(key, wire.to_plain(record))])
+                if outcome.applied:
+                    return Response(200, wire.job_answer(job_id, JobState.CANCELLED))
+        return later()
--- /dev/null
+++ b/pepperlatch/workers.py
@@ -0,0 +1,36 @@
+"""Client of the workers' own interface."""
+
+from typing import Any
+
+import msgspec
+
+from pepperlatch import constants as c
+from pepperlatch import wire
+from pepperlatch.http.client import Lost, Network
+
+
+class WorkerClient:
+    def __init__(self, network: Network) -> None:
+        self._network = network
+
+    async def inspect(self, addr: str, seconds: float = c.PROBE_S) -> wire.Report:
+        _, answer = await self._network.request(addr, "GET", wire.INSPECT, None, seconds)
+        return _report(answer)
+
+    async def command(
+        self, addr: str, token: int, session: int, orders: list[dict[str, Any]], seconds: float = c.COMMAND_S
+    ) -> tuple[bool, wire.Report]:
+        """Whether the orders were executed, and the worker's report after them."""
+        body = wire.commands_body(token, session, orders)
+        status, answer = await self._network.request(addr, "POST", wire.COMMANDS, body, seconds)
+        if status not in (200, 409):
+            raise Lost(f"{addr}: {status}")
+        return status == 200, _report(answer)
+
+
+def _report(answer: Any) -> wire.Report:
+    try:
+        report: wire.Report = wire.convert(answer, wire.Report)
+        return report
+    except msgspec.ValidationError as error:
+        raise Lost(f"unexpected report: {error}") from None
