--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -211,6 +211,9 @@
 def test_a_new_leader_waits_for_a_machine_that_it_cannot_reach() -> None:
     async def tell(world: World) -> None:
         board = job(1, shape="daemon", pieces=2, apart=True)
+        for zone in "abc":
+            world.cloud.create(zone)
+        await trio.sleep(7)
         await world.submit(board)
         await world.until(lambda: world.running(board) == 2, 40)
         hidden = world.hosts(board)[0]
