Nodes stand in for a leader lost in an outage, so that replicas outlive both

Ruled out: slow reports and relaying (there was nobody to relay to). A node that reaches neither answers reports with the leader's token, orders nothing but kills, and for no longer than the leader itself might. The leader reckons with that before it takes a silent machine's tasks for gone, unless the node has promised not to.

--- a/pepperlatch/cluster.py
+++ b/pepperlatch/cluster.py
@@ -7,6 +7,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from pepperlatch import constants as c
@@ -21,12 +22,21 @@
 SpecOf = Callable[[str], JobSpec | None]
 
 
+@dataclass(slots=True)
+class StandIn:
+    """What the leader knows of a controller that may keep leases alive in its place."""
+
+    answered_at: float = float("-inf")  # when we last answered its contact
+    barred_until: float = float("-inf")  # it promised not to stand in before
+
+
 class Cluster:
-    def __init__(self, node: str, token: int, params: Params, now: float, blind_until: float, spec_of: SpecOf) -> None:
+    def __init__(self, node: str, token: int, params: Params, now: float, hold_s: float, spec_of: SpecOf) -> None:
         self.node = node
         self.token = token
         self.params = params
-        self.blind_until = blind_until
+        self.hold_s = hold_s
+        self.blind_until = now + hold_s + params.workers.lease_s * (1 + c.CLOCK_DRIFT)
         self._spec_of = spec_of  # of a job that is over, whose tasks may still show up
         self.types: dict[str, MachineType] = {}
         self.jobs: dict[str, Job] = {}
@@ -43,6 +53,7 @@
         self.higher_token = False
         self._next = 0
         self.started = now
+        self.stand_ins: dict[str, StandIn] = {}
 
     # --- jobs -------------------------------------------------------------------------------------
 
@@ -336,10 +347,27 @@
             self.to_release.add(machine.name)
 
     def lease_over(self, machine: Machine, now: float) -> bool:
-        """The worker has surely killed its tasks: no answer of ours can have kept its lease alive."""
+        """The worker has surely killed its tasks: no answer, ours or a stand-in's, can have kept its lease alive."""
         lease_s = self.params.workers.lease_s * (1 + c.CLOCK_DRIFT)
         last = machine.answered_at if machine.name not in self.unaccounted else self.blind_until - lease_s
-        return now > last + lease_s + c.CLOCK_DRIFT + 0.2
+        return now > last + lease_s + c.LEASE_MARGIN_S and all(
+            now <= other.barred_until or now > other.answered_at + self.hold_s + lease_s + c.LEASE_MARGIN_S
+            for other in self.stand_ins.values()
+        )
+
+    def answered_peer(self, peer: str, now: float) -> None:
+        """From here on the other controller may stand in for us, until `hold_s` after it asked."""
+        self.stand_ins.setdefault(peer, StandIn()).answered_at = now
+
+    def on_promise(self, peer: str, stood_in: dict[str, float], until: float, now: float) -> None:
+        """The other controller will not stand in until then; for whom it did, and how long ago, it tells."""
+        other = self.stand_ins.get(peer)
+        if other is not None:
+            other.barred_until = until
+        for name, ago_s in stood_in.items():
+            machine = self.machines.get(name)
+            if machine is not None:
+                machine.answered_at = max(machine.answered_at, now - max(0.0, ago_s))
 
     def expire(self, now: float) -> None:
         for machine in list(self.machines.values()):
--- a/pepperlatch/constants.py
+++ b/pepperlatch/constants.py
@@ -31,8 +31,8 @@
 RETRY_AFTER_S: Final = 2  # s; told to a user whose request cannot be taken now
 
 # --- leadership -----------------------------------------------------------------------------------
-LEADER_LEASE_MS: Final = 3000  # ms; a dead leader is replaced after this; ten times a slow answer
-LEADER_TOUCH_S: Final = 0.7  # s; four tries fit into one lease
+LEADER_LEASE_MS: Final = 2400  # ms; a dead leader is replaced after this; six times a slow answer
+LEADER_TOUCH_S: Final = 0.5  # s; four tries fit into one lease
 ELECTION_JITTER_S: Final = 0.15  # s; keeps candidates from asking at the same instant
 HOLD_MARGIN_S: Final = 1.0  # s; kept free between the end of a held lease and the cancel bound
 CLOCK_DRIFT: Final = 0.001  # share; twice the protocol's 0.05 %, for two clocks drifting apart
@@ -50,6 +50,7 @@
 RELAY_AFTER_S: Final = 10.0  # s; a worker sent away that is back sooner could not reach the leader
 RELAY_STICKY_S: Final = 20.0  # s; how long its reports are then passed on before it is sent away again
 RELAY_S: Final = 2.5  # s; below the 4 s after which the worker drops an answer
+LEASE_MARGIN_S: Final = 0.3  # s; on top of a lease before its tasks count as gone, for timers that fire late
 ATTEMPT_SHIFT: Final = 24  # bits; 16 million attempts under one token
 
 # --- cloud ----------------------------------------------------------------------------------------
@@ -81,6 +82,9 @@
 SLOW_FACTOR: Final = 1.8  # times the usual run time; machines differ by a tenth, estimates by a half
 SLOW_SAMPLES: Final = 3  # finished tasks before a machine is called slow
 PREEMPT_MOST: Final = 8  # tasks stopped for others in one round, so a round cannot empty the cluster
-SUMMARY_EVERY_S: Final = 1.5  # s; followers fetch what the leader shows users beyond the protocol
+CONTACT_EVERY_S: Final = 0.7  # s; leader and followers keep in touch at this pace, two tries may fail
+STAND_IN_BAR_S: Final = 3.0  # s; a node asked by the leader does not stand in for it for so long
+STAND_IN_SLACK_S: Final = 0.3  # s; the leader counts on that a little shorter, for timers that fire late
 HEALTH_EVERY_S: Final = 0.7  # s; the balancer asks about once a second
+STATE_AWAY_S: Final = 2.5  # s; watches answer every 2 s, so the state service is away after this
 STATE_BAD_S: Final = 1.2  # s; without a good answer for this long the state service counts as away
--- a/pepperlatch/daemon.py
+++ b/pepperlatch/daemon.py
@@ -19,6 +19,7 @@
 from pepperlatch.http.server import Request, Response, Server
 from pepperlatch.leader import Leader
 from pepperlatch.leadership import Leadership, Term, hold_seconds
+from pepperlatch.model import split_task
 from pepperlatch.owner import Owner, Reply
 from pepperlatch.settings import Peer, Settings, split_address
 from pepperlatch.state import StateClient
@@ -28,7 +29,7 @@
 from pepperlatch.workers import WorkerClient
 
 log = logging.getLogger(__name__)
-PEER_BEAT, PEER_SUMMARY, PEER_HEALTH = "/peer/beat", "/peer/summary", "/peer/health"
+PEER_BEAT, PEER_CONTACT, PEER_BAR, PEER_HEALTH = "/peer/beat", "/peer/contact", "/peer/bar", "/peer/health"
 
 
 @dataclass(slots=True)
@@ -40,11 +41,27 @@
 
 
 @dataclass(slots=True)
-class _Summary:
-    at: float = -1.0
+class _Contact:
+    """The last answer from the leader: when it was asked for, under which token, and what it said of jobs."""
+
+    at: float = float("-inf")
+    token: int = 0
     jobs: dict[str, list[Any]] = field(default_factory=dict)
 
 
+class PeerMessage(msgspec.Struct):
+    node: str
+    token: int
+
+
+def _message(body: bytes) -> PeerMessage | None:
+    try:
+        message: PeerMessage = wire.convert(orjson.loads(body), PeerMessage)
+        return message
+    except (orjson.JSONDecodeError, msgspec.ValidationError):
+        return None
+
+
 class Node:
     def __init__(self, settings: Settings, network: Network, clock: Callable[[], float] = trio.current_time, wall: Callable[[], float] = time.time) -> None:
         self.settings = settings
@@ -65,7 +82,9 @@
         self.leader: Leader | None = None
         self._nursery: trio.Nursery | None = None
         self._sent: dict[str, _Sent] = {}
-        self._summary = _Summary()
+        self._contact = _Contact()
+        self._barred_until = float("-inf")
+        self._stood_in: dict[str, float] = {}  # machines answered in the leader's place, and when
         self._peers_good = False
         self._random = random.Random()
 
@@ -76,7 +95,7 @@
             self._nursery = nursery
             loops = (
                 self.owner.run, self.watched.watch, self.watched.serve_syncs, self.users.create_loop,
-                self._summary_loop, self._health_loop, self._types_loop,
+                self._contact_loop, self._health_loop, self._types_loop,
             )  # fmt: skip
             for loop in loops:
                 nursery.start_soon(loop)
@@ -132,7 +151,7 @@
             return Response(503, {"error": "nobody leads"})
         if self._sent_away(report.machine):
             return Response(421, wire.misdirected(held[0]))
-        return await self._relay(held[0], report.machine, body)
+        return await self._relay(held[0], report, body)
 
     async def _lead_beat(self, report: Report) -> Response:
         leader = self.leader
@@ -156,7 +175,7 @@
             sent.relay_until = now + c.RELAY_STICKY_S
         return False
 
-    async def _relay(self, leader: str, machine: str, body: bytes) -> Response:
+    async def _relay(self, leader: str, report: Report, body: bytes) -> Response:
         """Pass a report on, so that a zone that cannot reach the leader lives on."""
         peer = self._peer(leader)
         if peer is not None:
@@ -166,9 +185,40 @@
                     return Response(200, answer)
             except (NotSent, Lost):
                 pass
-        self._sent.pop(machine, None)
+        if self._may_stand_in(report):
+            return self._stand_in(report)
+        self._sent.pop(report.machine, None)
         return Response(421, {})
 
+    def _may_stand_in(self, report: Report) -> bool:
+        """While neither the leader nor the state service can be reached, workers' leases are kept alive for it.
+
+        For as long as the leader itself might: counted from the last proof that it leads, and from when
+        we last asked it and were answered, which is what it reckons with. Never while a promise to it
+        holds, never for workers that another leader has commanded since.
+        """
+        now, held = self._clock(), self.replica.leader
+        contact = self._contact
+        return (
+            held is not None
+            and held[1] == contact.token == report.token
+            and now - self.watched.current_at > c.STATE_AWAY_S
+            and now > self._barred_until
+            and now - self.watched.current_at < self.leadership.hold_s
+            and now - contact.at < self.leadership.hold_s
+        )
+
+    def _stand_in(self, report: Report) -> Response:
+        """No orders but to stop what this node knows to be over."""
+        self._stood_in[report.machine] = self._clock()
+        orders = []
+        for task in report.tasks:
+            parts = split_task(task.task)
+            entry = self.replica.jobs.get(parts[0]) if parts else None
+            if entry is not None and entry.state in wire.FINAL and task.state is not wire.TaskState.EXITED:
+                orders.append(wire.kill(task.task, task.attempt, 0.0))
+        return Response(200, wire.report_answer(report.token, orders))
+
     def _peer(self, node: str) -> Peer | None:
         return next((p for p in self.settings.peers if p.node == node), None)
 
@@ -180,18 +230,35 @@
                 return await self._lead_beat(wire.convert(orjson.loads(request.body), Report))
             except (orjson.JSONDecodeError, msgspec.ValidationError) as error:
                 return Response(400, {"error": str(error)})
-        if request.path == PEER_SUMMARY:
-            return Response(200, self._own_summary()) if self.leader else Response(404, {})
+        if request.path == PEER_CONTACT and request.method == "POST":
+            return self._on_contact(request.body)
+        if request.path == PEER_BAR and request.method == "POST":
+            return self._on_bar(request.body)
         if request.path == PEER_HEALTH:
             return Response(200, {"state": self._state_good() and self.replica.loaded})
         return await self.admin.handle(request)
 
-    def _own_summary(self) -> dict[str, Any]:
-        if self.leader is None:
-            return {}
+    def _on_contact(self, body: bytes) -> Response:
+        """A follower asks what it may show users, and may stand in for us from now on."""
+        leader, asked = self.leader, _message(body)
+        if asked is None:
+            return Response(400, {"error": "wanted: node and token"})
+        if leader is None or asked.token != leader.term.token or leader.term.over:
+            return Response(404, {"error": "does not lead"})
         now = self._clock()
-        jobs = self.leader.cluster.jobs.values()
-        return {j.spec.id: [j.running(), len(j.done), j.reason, round(now - j.reason_since, 1)] for j in jobs if not j.over}
+        leader.cluster.answered_peer(asked.node, now)
+        jobs = leader.cluster.jobs.values()
+        return Response(200, {j.spec.id: [j.running(), len(j.done), j.reason, round(now - j.reason_since, 1)] for j in jobs if not j.over})
+
+    def _on_bar(self, body: bytes) -> Response:
+        """The leader is in touch: no standing in for a while. It is told for which machines we did, and how long ago."""
+        if _message(body) is None:
+            return Response(400, {"error": "wanted: node and token"})
+        now = self._clock()
+        self._barred_until = now + c.STAND_IN_BAR_S
+        oldest = now - 2 * self.settings.params.workers.lease_s
+        self._stood_in = {name: at for name, at in self._stood_in.items() if at > oldest}
+        return Response(200, {name: round(now - at, 3) for name, at in self._stood_in.items()})
 
     def _progress(self, job_id: str) -> Progress | None:
         if self.leader is not None:
@@ -199,22 +266,41 @@
             if job is None:
                 return None
             return Progress(job.running(), len(job.done), job.reason, self._clock() - job.reason_since)
-        row = self._summary.jobs.get(job_id)
-        return Progress(row[0], row[1], row[2], row[3] + self._clock() - self._summary.at) if row else None
+        row = self._contact.jobs.get(job_id)
+        return Progress(row[0], row[1], row[2], row[3] + self._clock() - self._contact.at) if row else None
 
-    async def _summary_loop(self) -> None:
+    async def _contact_loop(self) -> None:
         while True:
-            await trio.sleep(c.SUMMARY_EVERY_S)
-            held = self.replica.leader
-            peer = self._peer(held[0]) if held is not None else None
-            if peer is None or self.leader is not None:
-                continue
-            try:
-                status, answer = await self._network.request(peer.addr, "GET", PEER_SUMMARY, None, c.PROBE_S)
-                if status == 200 and isinstance(answer, dict):
-                    self._summary = _Summary(self._clock(), answer)
-            except (NotSent, Lost):
-                pass
+            await trio.sleep(c.CONTACT_EVERY_S)
+            held, leader = self.replica.leader, self.leader
+            if leader is not None:
+                async with trio.open_nursery() as nursery:
+                    for peer in self.settings.peers:
+                        nursery.start_soon(self._bar, leader, peer)
+            elif held is not None and (peer_leads := self._peer(held[0])) is not None:
+                await self._contact_leader(peer_leads, held[1])
+
+    async def _contact_leader(self, peer: Peer, token: int) -> None:
+        sent = self._clock()
+        answer = await self._ask_peer(peer, PEER_CONTACT, token)
+        if answer is not None:
+            self._contact = _Contact(sent, token, answer)
+
+    async def _bar(self, leader: Leader, peer: Peer) -> None:
+        """Counted from before the question, the promise is shorter for us than for the one that gave it."""
+        sent = self._clock()
+        answer = await self._ask_peer(peer, PEER_BAR, leader.term.token)
+        if answer is not None:
+            until = sent + c.STAND_IN_BAR_S - c.STAND_IN_SLACK_S
+            self.owner.post(lambda: leader.cluster.on_promise(peer.node, answer, until, self._clock()))
+
+    async def _ask_peer(self, peer: Peer, path: str, token: int) -> dict[str, Any] | None:
+        try:
+            body = {"node": self.settings.node, "token": token}
+            status, answer = await self._network.request(peer.addr, "POST", path, body, c.PROBE_S)
+        except (NotSent, Lost):
+            return None
+        return answer if status == 200 and isinstance(answer, dict) else None
 
     async def _health_loop(self) -> None:
         """Only while this node has no good answer itself does it ask whether the others do."""
--- a/pepperlatch/leader.py
+++ b/pepperlatch/leader.py
@@ -47,9 +47,7 @@
         self._clock = clock
         self._wall = wall
         now = clock()
-        limits = settings.params.workers
-        blind = now + term.hold_s + limits.lease_s * (1 + c.CLOCK_DRIFT)
-        self.cluster = Cluster(settings.node, term.token, settings.params, now, blind, self._spec_if_over)
+        self.cluster = Cluster(settings.node, term.token, settings.params, now, term.hold_s, self._spec_if_over)
         self.planner = Planner(self.cluster, Tuning(replica.tuning[0]))
         self._tuning_version = replica.tuning[1]
         self.writer = Writer(state, term, settings.params.state.txn_ops)
@@ -148,7 +146,7 @@
         submitted = self._clock() - max(0.0, self._wall() - entry.record.at)
         spec = entry.record.spec
         self.cluster.add_job(spec, entry.version, submitted, done)
-        log.info("job %s: %s %s of %d", job_id, spec.priority.name.lower(), spec.kind.name.lower(), spec.tasks)
+        log.info("job %s: %s %s of %d x %g cpus", job_id, spec.priority.name.lower(), spec.kind.name.lower(), spec.tasks, spec.cpus)
 
     def on_jobs(self, touched: set[str]) -> None:
         """The watch has shown changes of these jobs."""
--- a/pepperlatch/leadership.py
+++ b/pepperlatch/leadership.py
@@ -43,7 +43,7 @@
         self._node = node
         self._state = state
         self._replica = replica
-        self._hold_s = hold_s
+        self.hold_s = hold_s
         self._clock = clock
         self._random = random.Random(seed)
         self.term: Term | None = None
@@ -84,7 +84,7 @@
         if not outcome.applied:
             await self._state.revoke(lease)
             return None
-        return Term(outcome.revision, lease, sent, self._hold_s)
+        return Term(outcome.revision, lease, sent, self.hold_s)
 
     async def _keep(self, term: Term) -> None:
         """Touch the lease until it is lost; nothing but a proof of loss ends a term."""
--- a/pepperlatch/store.py
+++ b/pepperlatch/store.py
@@ -170,6 +170,7 @@
         self._waiting: list[trio.Event] = []
         self._wanted = trio.Event()
         self._failed: set[trio.Event] = set()
+        self.current_at = float("-inf")  # when the latest read that proved the replica current was sent
 
     async def watch(self) -> None:
         """Follow all changes for ever."""
@@ -177,15 +178,23 @@
             try:
                 if not self.replica.loaded:
                     await self._reload()
-                changes = await self._state.changes(WATCHED, self.replica.revision, c.WATCH_WAIT_MS)
-                if changes is None:
+                if not await self._read(c.WATCH_WAIT_MS):
                     await self._reload()
-                elif changes.events or changes.revision > self.replica.revision:
-                    self._on_change(self.replica.apply(changes))
                 await trio.sleep(c.WATCH_GAP_S)
             except (Away, Unsure):
                 await trio.sleep(c.STATE_RETRY_S)
 
+    async def _read(self, wait_ms: int) -> bool:
+        """Take in what changed; False if the service no longer keeps changes so old."""
+        sent = trio.current_time()
+        changes = await self._state.changes(WATCHED, self.replica.revision, wait_ms)
+        if changes is None:
+            return False
+        if changes.events or changes.revision > self.replica.revision:
+            self._on_change(self.replica.apply(changes))
+        self.current_at = max(self.current_at, sent)
+        return True
+
     async def _reload(self) -> None:
         revision, pairs = await self._state.read_all(WATCHED)
         self._on_change(self.replica.reload(revision, pairs))
@@ -209,11 +218,8 @@
             self._wanted = trio.Event()
             batch, self._waiting = self._waiting, []
             try:
-                changes = await self._state.changes(WATCHED, self.replica.revision, 0)
-                if changes is None:
+                if not await self._read(0):
                     raise Away("changes no longer kept")
-                if changes.events or changes.revision > self.replica.revision:
-                    self._on_change(self.replica.apply(changes))
             except (Away, Unsure):
                 self._failed.update(batch)
             for event in batch:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -159,6 +159,53 @@
     story(tell)
 
 
+def test_workers_outlive_an_outage_in_which_the_leader_dies() -> None:
+    """Seen: an outage, the leader gone in the midst of it, and every replica killed by its lease."""
+
+    async def tell(world: World) -> None:
+        board = job(1, shape="daemon")
+        await world.submit(board)
+        await world.until(lambda: world.running(board) == 2, 40)
+        await trio.sleep(2)
+        world.state.out = True
+        await trio.sleep(1)
+        world.kill(world.leader())
+        await trio.sleep(LEASE_S + 3)
+        world.state.out = False
+        await trio.sleep(LEASE_S + 3)
+        assert world.observer.starts["run-000001"] == 2
+        assert world.running(board) == 2
+
+    story(tell)
+
+
+def test_a_leader_reckons_with_those_who_stand_in_for_it() -> None:
+    """It cannot reach a machine, nor the others, nor the cloud; one of those is without the state service."""
+
+    async def tell(world: World) -> None:
+        board = job(1, shape="daemon", pieces=2, apart=True)
+        for zone in "abc":
+            world.cloud.create(zone)
+        await trio.sleep(7)
+        await world.submit(board)
+        await world.until(lambda: world.running(board) == 2, 40)
+        await trio.sleep(2)
+        leader, host = world.leader(), world.hosts(board)[0]
+        other = (leader + 1) % 3
+        world.cloud.out = True
+        world.state.refused.add(NODES[other])
+        world.cut(NODES[leader], NODES[other], "refuse")
+        for index in (leader, 3 - leader - other):
+            world.cut(NODES[index], host.name, "refuse")
+        await trio.sleep(LEASE_S + 2)
+        assert any(t.job is board for t in host.tasks.values()), "the other node keeps the lease alive"
+        await trio.sleep(CANCEL_S + 5)
+        assert world.running(board) == 2, "in the end the replica runs elsewhere"
+        assert host not in world.hosts(board)
+
+    story(tell)
+
+
 def test_a_node_refused_alone_turns_unhealthy_and_another_leads() -> None:
     async def tell(world: World) -> None:
         board = job(1, shape="daemon")
