--- a/pepperlatch/constants.py
+++ b/pepperlatch/constants.py
@@ -85,6 +85,7 @@
 CONTACT_EVERY_S: Final = 0.7  # s; leader and followers keep in touch at this pace, two tries may fail
 STAND_IN_BAR_S: Final = 3.0  # s; a node asked by the leader does not stand in for it for so long
 STAND_IN_SLACK_S: Final = 0.3  # s; the leader counts on that a little shorter, for timers that fire late
+PREEMPT_PAUSE_S: Final = 4.0  # s; a job that had others stopped and still found no place must not go on stopping
 HEALTH_EVERY_S: Final = 0.7  # s; the balancer asks about once a second
 STATE_AWAY_S: Final = 2.5  # s; watches answer every 2 s, so the state service is away after this
 STATE_BAD_S: Final = 1.2  # s; without a good answer for this long the state service counts as away
--- a/pepperlatch/model.py
+++ b/pepperlatch/model.py
@@ -62,6 +62,7 @@
     prefer: dict[int, "Machine"] = field(default_factory=dict)  # where a drain wants a task to go
     reason: str = "waiting to be placed"
     reason_since: float = 0.0
+    preempt_after: float = float("-inf")  # it may have others stopped again from then on
     finishing: bool = False  # the write that makes it done is on its way
     over: bool = False  # cancelled or done: what still runs has to go
 
--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -128,8 +128,9 @@
             job = need.job
             if left <= 0 or stopping > 0 or job.spec.kind is Kind.GANG:
                 return
-            if RANK[job.spec.priority] > 1 and job.spec.id not in inside:
+            if (RANK[job.spec.priority] > 1 and job.spec.id not in inside) or now < job.preempt_after:
                 continue
+            job.preempt_after = now + c.PREEMPT_PAUSE_S
             for _ in range(min(need.count, left)):
                 victims = self._victims(job, inside, now)
                 if not victims:
@@ -153,6 +154,8 @@
         best: tuple[float, list[Attempt]] | None = None
         zones = set(placement.zones_open(job, self.cluster.params.zones))
         for machine in self.usable(now):
+            if self.spare.short() and self.spare.guards(job.spec, machine):
+                continue
             if machine.zone not in zones or not allowed_on(job.spec, machine.type.name, machine.zone, machine.spot):
                 continue
             victims = self._enough(job, machine, inside, now)
--- a/pepperlatch/supply.py
+++ b/pepperlatch/supply.py
@@ -81,9 +81,15 @@
         if machine in self._slots:
             self._slots[machine] = self.slots(machine)
 
+    def short(self) -> bool:
+        return self.free() < self.wanted
+
+    def guards(self, spec: JobSpec, machine: Machine) -> bool:
+        return spec.kind is not Kind.SERVICE and machine in self._slots
+
     def allows(self, spec: JobSpec, machine: Machine) -> bool:
         """Whether a task may go there: replicas always, others only if enough room stays."""
-        if spec.kind is Kind.SERVICE or machine not in self._slots:
+        if not self.guards(spec, machine):
             return True
         after = self._fit(machine.free_cpus - spec.cpus, machine.free_gpus - spec.gpus, machine.free_gb - spec.memory_gb)
         return self.free() - self._slots[machine] + after >= self.wanted or after == self._slots[machine]
