Places serve waiting tasks in turn; replicas neither pin large machines nor wait for images

Ruled out: boot time and the 60 s minimum (under a tenth of the money each). Now a place that is booting or about to be free is counted once per task that it can run before the aims in the settings are missed, and replicas go to cheap machines or to those that hold replicas. Room for replicas is sized by the largest service, also per image.

--- a/pepperlatch/fleet.py
+++ b/pepperlatch/fleet.py
@@ -22,6 +22,7 @@
     job: Job
     count: int
     spread: dict[str, int] = field(default_factory=dict)  # tasks per zone, placed or planned
+    turns: int = 1  # tasks that one place can run one after the other before the job is late
 
 
 @dataclass(slots=True, eq=False)
@@ -44,15 +45,16 @@
             spec = need.job.spec
             if need.count <= 0 or not allowed_on(spec, self.offer.type, self.offer.zone, self.offer.spot):
                 continue
-            count = min(need.count, self.slots(spec), zone_room(need, self.offer.zone))
+            count = min(need.count, self.slots(spec) * need.turns, zone_room(need, self.offer.zone))
             if count <= 0:
                 continue
-            self.cpus -= count * spec.cpus
-            self.gpus -= count * spec.gpus
-            self.memory_gb -= count * spec.memory_gb
+            places = -(-count // need.turns)
+            self.cpus -= places * spec.cpus
+            self.gpus -= places * spec.gpus
+            self.memory_gb -= places * spec.memory_gb
             need.count -= count
             need.spread[self.offer.zone] = need.spread.get(self.offer.zone, 0) + count
-            taken += count * (spec.cpus + spec.gpus)
+            taken += places * (spec.cpus + spec.gpus)
         return taken
 
 
@@ -106,7 +108,7 @@
 
 def _score(offer: Offer, kind: MachineType, needs: list[Need]) -> float:
     """Price per CPU put to use, a little more for types that boot slowly."""
-    trial = [Need(n.job, n.count, dict(n.spread)) for n in needs if n.count > 0]
+    trial = [Need(n.job, n.count, dict(n.spread), n.turns) for n in needs if n.count > 0]
     taken = bin_of(offer, kind).fill(trial)
     urgent = any(n.job.spec.kind is Kind.SERVICE or n.job.spec.deadline_s for n in needs if n.count > 0)
     return price_of(offer, kind) / max(taken, EPS) * (1 + (kind.boot_s / 60 if urgent else 0))
--- a/pepperlatch/model.py
+++ b/pepperlatch/model.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from pepperlatch.wire import JobSpec, MachineType, TaskReport, TaskState
+from pepperlatch.wire import JobSpec, Kind, MachineType, TaskReport, TaskState
 
 
 class Phase(Enum):
@@ -132,6 +132,9 @@
     def price(self) -> float:
         return self.type.spot_price if self.spot else self.type.price
 
+    def holds_replicas(self) -> bool:
+        return any(a.job.spec.kind is Kind.SERVICE for a in self.attempts.values())
+
     def holds_image(self, spec: JobSpec) -> bool:
         return spec.image_gb <= 0 or spec.image in self.images
 
--- a/pepperlatch/placement.py
+++ b/pepperlatch/placement.py
@@ -1,7 +1,7 @@
 """Where a task goes: a machine that has or is fetching the image, then the fullest that fits."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from pepperlatch import constants as c
 from pepperlatch.model import Job, Machine, Status, allowed_on
@@ -33,12 +33,15 @@
 
 
 def rank(machine: Machine, job: Job, used: Counter[str]) -> tuple[float, ...]:
-    """Smaller is better. Replicas go apart from their siblings where the image is: one loss must cost least."""
+    """Smaller is better. Replicas go where the image is, to machines that other replicas hold already (else to a cheap one:
+    they stay long and must not pin a large machine), and apart from their siblings, so that one loss costs least.
+    """
     spec = job.spec
     image = 0 if machine.holds_image(spec) else 1 if machine.fetches_image(spec) else 2
     kind = 0 if machine.spot == spec.spot else 1
     apart = used[machine.name] if spec.kind is Kind.SERVICE else 0
-    return (is_slow(machine), image, apart, kind, machine.free_cpus, machine.born)
+    pins = machine.price() if spec.kind is Kind.SERVICE and not machine.holds_replicas() else 0.0
+    return (is_slow(machine), image, pins, apart, kind, machine.free_cpus, machine.born)
 
 
 def is_slow(machine: Machine) -> bool:
@@ -46,12 +49,12 @@
     return len(recent) >= c.SLOW_SAMPLES and sorted(recent)[len(recent) // 2] > c.SLOW_FACTOR
 
 
-def choose(job: Job, machines: Iterable[Machine], zones: Iterable[str]) -> Machine | None:
-    """The best of the usable machines for the job's next task."""
+def choose(job: Job, machines: Iterable[Machine], zones: Iterable[str], free: Callable[[Machine], bool]) -> Machine | None:
+    """The best of the usable machines for the job's next task, of those whose room is free for it."""
     open_zones = set(zones_open(job, zones))
     spec = job.spec
     used = Counter(a.machine.name for a in job.live.values()) if spec.kind is Kind.SERVICE else Counter()
-    fitting = [m for m in machines if m.zone in open_zones and m.has_room(spec) and allowed_on(spec, m.type.name, m.zone, m.spot)]
+    fitting = [m for m in machines if m.zone in open_zones and m.has_room(spec) and allowed_on(spec, m.type.name, m.zone, m.spot) and free(m)]
     return min(fitting, key=lambda m: rank(m, job, used), default=None)
 
 
--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -55,7 +55,7 @@
         cluster.count_hidden()
         rebuilding = cluster.rebuilding()
         machines = self.usable(now)
-        self.spare.count(machines, (j.spec for j in cluster.jobs.values() if not j.over), int(self.tuning["spare_slots"]))
+        self.spare.count(machines, [j.spec for j in cluster.jobs.values() if not j.over], self.tuning["spare_jobs"])
         self.needs = []
         for job in self.ordered(now):
             if rebuilding and job.old:
@@ -76,8 +76,8 @@
             best = placement.choose_zone(job, machines, zones)
             zones = [best] if best else []
         while job.waiting and room > 0:
-            machine = self._preferred(job, machines, zones) or placement.choose(job, machines, zones)
-            if machine is None or not self.spare.allows(job.spec, machine):
+            machine = self._preferred(job, machines, zones) or self._choose(job, machines, zones)
+            if machine is None:
                 break
             cluster.place(job, job.waiting.popleft(), machine, now)
             self.spare.took(machine)
@@ -85,10 +85,13 @@
         if job.waiting:
             self._unplaced(job, min(room, len(job.waiting)), now)
 
+    def _choose(self, job: Job, machines: list[Machine], zones: list[str]) -> Machine | None:
+        return placement.choose(job, machines, zones, lambda m: self.spare.allows(job.spec, m))
+
     def _preferred(self, job: Job, machines: list[Machine], zones: list[str]) -> Machine | None:
         """Where a drain promised the next task a place."""
         target = job.prefer.pop(job.waiting[0], None)
-        return placement.choose(job, [target], zones) if target is not None and target in machines else None
+        return self._choose(job, [target], zones) if target is not None and target in machines else None
 
     def _place_gang(self, job: Job, machines: list[Machine], now: float) -> None:
         """All tasks or none, under one attempt number."""
@@ -104,7 +107,7 @@
             zones = [best] if best else []
         number = cluster.new_number()
         placed: list[Attempt] = []
-        while job.waiting and (machine := placement.choose(job, machines, zones)) is not None:
+        while job.waiting and (machine := self._choose(job, machines, zones)) is not None:
             placed.append(cluster.place(job, job.waiting.popleft(), machine, now, number))
         if job.waiting:
             for attempt in placed:
@@ -194,30 +197,48 @@
 
     def rent(self, now: float) -> list[Offer]:
         """What to ask the cloud for, after counting on what is already booting."""
-        needs = [Need(n.job, n.count, dict(n.spread)) for n in self.needs]
+        needs = [Need(n.job, n.count, dict(n.spread), self._turns(n.job, now)) for n in self.needs]
         for room in self.booting_bins(now):
             room.fill(needs)
         self._count_on_finishing(needs, now)
         for need in self.needs:
             need.job.explain("machines are booting", now)
+        needs += self._spare_need(now)
         blocked = {offer for offer, until in self.blocked.items() if until > now}
         chosen = fleet.choose(needs, list(self.cluster.types.values()), blocked, c.HIRE_COUNT_MOST)
         for need in needs:
-            if need.count > 0:
+            if need.count > 0 and need.job.spec.id:
                 need.job.explain("no capacity in the allowed zones", now)
         return chosen
 
+    def _spare_need(self, now: float) -> list[Need]:
+        """Room for replicas that is neither there nor booting."""
+        if self.spare.spec is None or self.cluster.rebuilding():
+            return []
+        coming = sum(room.slots(self.spare.spec) for room in self.booting_bins(now) if not room.offer.spot)
+        short = self.spare.wanted - self.spare.free() - coming
+        return [Need(Job(self.spare.spec, 0, now, False), short)] if short > 0 else []
+
     def _count_on_finishing(self, needs: list[Need], now: float) -> None:
         """What running tasks will free soon enough needs no new machine."""
         places = [
             supply.Place(a.machine, a.job.spec, supply.remaining_s(a, now))
             for m in self.usable(now) for a in m.attempts.values() if a.job.spec.kind is Kind.ARRAY and a.wanted
         ]  # fmt: skip
-        boot_s = min((kind.boot_s for kind in self.cluster.types.values()), default=0.0)
         for need in needs:
             if need.job.spec.kind is Kind.ARRAY and need.count > 0:
-                patience = max(boot_s, supply.slack_s(need.job, self.cluster.params.objectives, now) - boot_s)
-                supply.absorb(need, places, patience)
+                supply.absorb(need, places, self._patience_s(need.job, now))
+
+    def _patience_s(self, job: Job, now: float) -> float:
+        """How long the job's tasks may wait for places: at least as long as a new machine would take."""
+        boot_s = min((kind.boot_s for kind in self.cluster.types.values()), default=0.0)
+        return max(boot_s, supply.slack_s(job, self.cluster.params.objectives, now) - boot_s)
+
+    def _turns(self, job: Job, now: float) -> int:
+        if job.spec.kind is not Kind.ARRAY or job.spec.estimate_s <= 0:
+            return 1
+        boot_s = max((kind.boot_s for kind in self.cluster.types.values()), default=0.0)
+        return 1 + max(0, int((self._patience_s(job, now) - boot_s) // (job.spec.estimate_s * c.ESTIMATE_CAUTION)))
 
     def refused(self, offer: Offer, now: float) -> None:
         pause = min(c.NO_CAPACITY_PAUSE_MOST_S, max(c.NO_CAPACITY_PAUSE_S, self.pauses.get(offer, 0.0) * 2))
@@ -236,6 +257,8 @@
         for machine in self.cluster.machines.values():
             if machine.status is not Status.UP or machine.attempts or machine.idle_since is None:
                 continue
+            if self.spare.needs(machine) and not machine.quarantined and machine.notice_at is None:
+                continue
             useless = machine.quarantined or machine.notice_at is not None or machine.draining is not None
             if useless or (not wanted and now - machine.idle_since >= self.tuning["idle_s"] and now - machine.born >= c.MIN_CHARGE_S - 5):
                 out.append(machine)
--- a/pepperlatch/supply.py
+++ b/pepperlatch/supply.py
@@ -1,8 +1,11 @@
 """Room that will come by itself, and room that is kept free. No I/O, no clock."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from pepperlatch import constants as c
 from pepperlatch.fleet import Need
 from pepperlatch.model import EPS, Attempt, Job, Machine, allowed_on
@@ -53,33 +56,40 @@
 
 @dataclass(slots=True)
 class Spare:
-    """Room for replicas on ordinary machines, which other work may not take."""
+    """Room for replicas on ordinary machines, which other work may not take.
+
+    As much on machines that hold an image of the services as in all: an image takes longer to fetch
+    than a replica to start.
+    """
 
-    replica: tuple[float, float, float] | None = None  # CPUs, GPUs and GB of the largest replica there is
+    spec: JobSpec | None = None  # the largest replica there is, as a job that nobody submitted
     wanted: int = 0
+    images: set[str] = field(default_factory=set)
     _slots: dict[Machine, int] = field(default_factory=dict)
 
-    def count(self, machines: Iterable[Machine], specs: Iterable[JobSpec], wanted: int) -> None:
-        replicas = [(s.cpus, s.gpus, s.memory_gb) for s in specs if s.kind is Kind.SERVICE and s.types is None]
-        self.replica = max(replicas, default=None)
-        self.wanted = wanted if self.replica else 0
-        self._slots = {m: self.slots(m) for m in machines if not m.spot} if self.replica else {}
-
-    def slots(self, machine: Machine) -> int:
-        return self._fit(machine.free_cpus, machine.free_gpus, machine.free_gb)
-
-    def _fit(self, cpus: float, gpus: float, memory_gb: float) -> int:
-        if self.replica is None:
+    def count(self, machines: Iterable[Machine], specs: list[JobSpec], jobs: float) -> None:
+        replicas = [s for s in specs if s.kind is Kind.SERVICE and s.types is None and s.zone is None]
+        largest = max(replicas, key=lambda s: (s.cpus, s.gpus, s.memory_gb), default=None)
+        most = max((s.tasks for s in replicas), default=0)
+        self.spec = None if largest is None else msgspec.structs.replace(largest, id="", one_zone=False, spread=False, tasks=most, spot=False)
+        self.wanted = math.ceil(jobs * most)
+        self.images = {s.image for s in replicas}
+        self._slots = {m: self._fit(m) for m in machines if not m.spot} if self.spec else {}
+
+    def _fit(self, machine: Machine, taken: JobSpec | None = None) -> int:
+        if self.spec is None:
             return 0
-        pairs = zip(self.replica, (cpus, gpus, memory_gb), strict=True)
-        return max(0, min((int((free + EPS) // need) for need, free in pairs if need > 0), default=0))
+        need = (self.spec.cpus, self.spec.gpus, self.spec.memory_gb)
+        less = (taken.cpus, taken.gpus, taken.memory_gb) if taken else (0.0, 0.0, 0.0)
+        free = (machine.free_cpus, machine.free_gpus, machine.free_gb)
+        return max(0, min((int((f - t + EPS) // n) for n, f, t in zip(need, free, less, strict=True) if n > 0), default=0))
 
-    def free(self) -> int:
-        return sum(self._slots.values())
+    def free(self, image: str | None = None) -> int:
+        return sum(slots for m, slots in self._slots.items() if image is None or image in m.images)
 
     def took(self, machine: Machine) -> None:
         if machine in self._slots:
-            self._slots[machine] = self.slots(machine)
+            self._slots[machine] = self._fit(machine)
 
     def short(self) -> bool:
         return self.free() < self.wanted
@@ -87,9 +97,14 @@
     def guards(self, spec: JobSpec, machine: Machine) -> bool:
         return spec.kind is not Kind.SERVICE and machine in self._slots
 
+    def needs(self, machine: Machine) -> bool:
+        """Whether room would be short without the machine."""
+        return machine in self._slots and self.free() - self._slots[machine] < self.wanted
+
     def allows(self, spec: JobSpec, machine: Machine) -> bool:
         """Whether a task may go there: replicas always, others only if enough room stays."""
         if not self.guards(spec, machine):
             return True
-        after = self._fit(machine.free_cpus - spec.cpus, machine.free_gpus - spec.gpus, machine.free_gb - spec.memory_gb)
-        return self.free() - self._slots[machine] + after >= self.wanted or after == self._slots[machine]
+        lost = self._slots[machine] - self._fit(machine, spec)
+        images: list[str | None] = [image for image in self.images if image in machine.images]
+        return lost <= 0 or all(self.free(image) - lost >= self.wanted for image in [None, *images])
--- a/pepperlatch/tuning.py
+++ b/pepperlatch/tuning.py
@@ -19,7 +19,7 @@
     "drain_age_s": Knob(600.0, 0.0, 86400.0, "s", "a move restarts a task, so only young tasks are moved"),
     "drain_lost_s": Knob(8.0, 0.0, 86400.0, "s", "unsaved run time that a move may throw away; replicas lose none"),
     "idle_s": Knob(30.0, 0.0, 3600.0, "s", "an idle machine is kept about as long as a new one takes to boot and fetch"),
-    "spare_slots": Knob(2.0, 0.0, 100.0, "tasks", "room kept free for replicas, so that a new or lost one starts at once"),
+    "spare_jobs": Knob(1.0, 0.0, 20.0, "jobs", "largest services for which room is kept, so that a new or lost one starts at once"),
 }
 
 
