A new replica does not pin a machine far dearer than it needs

Such a replica now waits for a cheap machine, at most 45 s, unless it ran before or none is to be had.

--- a/pepperlatch/cluster.py
+++ b/pepperlatch/cluster.py
@@ -227,6 +227,7 @@
             attempt.state = state
             if state in (TaskState.RUNNING, TaskState.WAITING) and attempt.running_at is None:
                 attempt.running_at = now
+                attempt.job.ran = True
                 attempt.machine.used_image(attempt.job.spec)
                 attempt.job.explain("running", now)
             elif state is TaskState.FETCHING:
--- a/pepperlatch/placement.py
+++ b/pepperlatch/placement.py
@@ -44,6 +44,11 @@
     return (is_slow(machine), image, pins, apart, kind, machine.free_cpus, machine.born)
 
 
+def pinned(machine: Machine, cheapest: float) -> bool:
+    """Whether a replica would be the one for which a dear machine is kept, perhaps for hours."""
+    return not machine.holds_replicas() and machine.price() > c.PIN_RATIO * cheapest
+
+
 def is_slow(machine: Machine) -> bool:
     recent = machine.pace[-c.SLOW_SAMPLES :]
     return len(recent) >= c.SLOW_SAMPLES and sorted(recent)[len(recent) // 2] > c.SLOW_FACTOR
--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -7,10 +7,10 @@
 from pepperlatch import draining, fleet, placement, quota, supply
 from pepperlatch.cluster import Cluster
 from pepperlatch.fleet import Bin, Need, Offer
-from pepperlatch.model import Attempt, Job, Machine, Phase, Status, allowed_on
+from pepperlatch.model import Attempt, Job, Machine, Phase, Status, allowed_on, fits_type
 from pepperlatch.supply import Spare
 from pepperlatch.tuning import Tuning
-from pepperlatch.wire import RANK, Kind
+from pepperlatch.wire import RANK, JobSpec, Kind
 
 
 @dataclass(slots=True)
@@ -55,7 +55,9 @@
         cluster.count_hidden()
         rebuilding = cluster.rebuilding()
         machines = self.usable(now)
-        self.spare.count(machines, [j.spec for j in cluster.jobs.values() if not j.over], self.tuning["spare_jobs"])
+        cheapest = self._cheapest(self.spare.spec) if self.spare.spec else float("inf")
+        homes = [m for m in machines if not placement.pinned(m, cheapest)]
+        self.spare.count(homes, [j.spec for j in cluster.jobs.values() if not j.over], self.tuning["spare_jobs"])
         self.needs = []
         for job in self.ordered(now):
             if rebuilding and job.old:
@@ -76,7 +78,7 @@
             best = placement.choose_zone(job, machines, zones)
             zones = [best] if best else []
         while job.waiting and room > 0:
-            machine = self._preferred(job, machines, zones) or self._choose(job, machines, zones)
+            machine = self._preferred(job, machines, zones, now) or self._choose(job, machines, zones, now)
             if machine is None:
                 break
             cluster.place(job, job.waiting.popleft(), machine, now)
@@ -85,13 +87,27 @@
         if job.waiting:
             self._unplaced(job, min(room, len(job.waiting)), now)
 
-    def _choose(self, job: Job, machines: list[Machine], zones: list[str]) -> Machine | None:
+    def _choose(self, job: Job, machines: list[Machine], zones: list[str], now: float) -> Machine | None:
+        if job.spec.kind is Kind.SERVICE and not job.ran and now - job.submitted < c.PIN_WAIT_S and self._cheap_to_be_had(job.spec, now):
+            machines = [m for m in machines if not placement.pinned(m, self._cheapest(job.spec))]
         return placement.choose(job, machines, zones, lambda m: self.spare.allows(job.spec, m))
 
-    def _preferred(self, job: Job, machines: list[Machine], zones: list[str]) -> Machine | None:
+    def _cheapest(self, spec: JobSpec) -> float:
+        """The lowest price of an ordinary machine that the task fits."""
+        return min((t.price for t in self.cluster.types.values() if fits_type(spec, t)), default=0.0)
+
+    def _cheap_to_be_had(self, spec: JobSpec, now: float) -> bool:
+        most = self._cheapest(spec) * c.PIN_RATIO
+        return any(
+            self.blocked.get(Offer(t.name, zone, False), 0.0) <= now
+            for t in self.cluster.types.values() if t.price <= most and fits_type(spec, t)
+            for zone in t.zones if allowed_on(spec, t.name, zone, False)
+        )  # fmt: skip
+
+    def _preferred(self, job: Job, machines: list[Machine], zones: list[str], now: float) -> Machine | None:
         """Where a drain promised the next task a place."""
         target = job.prefer.pop(job.waiting[0], None)
-        return self._choose(job, [target], zones) if target is not None and target in machines else None
+        return self._choose(job, [target], zones, now) if target is not None and target in machines else None
 
     def _place_gang(self, job: Job, machines: list[Machine], now: float) -> None:
         """All tasks or none, under one attempt number."""
@@ -107,7 +123,7 @@
             zones = [best] if best else []
         number = cluster.new_number()
         placed: list[Attempt] = []
-        while job.waiting and (machine := self._choose(job, machines, zones)) is not None:
+        while job.waiting and (machine := self._choose(job, machines, zones, now)) is not None:
             placed.append(cluster.place(job, job.waiting.popleft(), machine, now, number))
         if job.waiting:
             for attempt in placed:
