--- a/pepperlatch/cluster.py
+++ b/pepperlatch/cluster.py
@@ -91,9 +91,10 @@
     def place(self, job: Job, task: int, machine: Machine, now: float, number: int | None = None) -> Attempt:
         """Counts against room and limits from here on. The caller has taken the task off `waiting`."""
         attempt = Attempt(job, task, number or self.new_number(), machine, now)
+        image = "held" if machine.holds_image(job.spec) else "fetching" if machine.fetches_image(job.spec) else "absent"
         self._register(attempt)
         job.explain("starting", now)
-        log.info("place %s try %d on %s", attempt.name, attempt.number, machine.name)
+        log.info("place %s try %d on %s, image %s", attempt.name, attempt.number, machine.name, image)
         return attempt
 
     def _register(self, attempt: Attempt) -> None:
