--- a/pepperlatch/cloud.py
+++ b/pepperlatch/cloud.py
@@ -26,7 +26,7 @@
         self._network = network
         self._addr = addr
         self._clock = clock
-        self._budget = Budget(limits.rps * c.CLOUD_SHARE)
+        self._budget = Budget(limits.rps * c.CLOUD_SHARE, c.CLOUD_BURST_S)
 
     async def _call(self, method: str, path: str, body: Any = None) -> Any:
         wait = self._budget.wait_for(self._clock())
--- a/pepperlatch/leader.py
+++ b/pepperlatch/leader.py
@@ -56,6 +56,7 @@
         self._hires = 0
         self._hire_of: dict[str, set[str]] = {}  # hire record -> its machines that are not recorded yet
         self._persist_at = 0.0
+        self._rented_at = 0.0
         self._housekeep_at = 0.0
         self._releasing: set[str] = set()
         self.nursery: trio.Nursery | None = None
@@ -204,7 +205,8 @@
             self.planner.notices(now)
             self.planner.place_all(now)
             self.planner.preempt(now)
-            if sure:
+            if sure and now - self._rented_at >= c.RENT_GAP_S:
+                self._rented_at = now
                 self._rent(now)
         self._answer_beats(now, sure, may)
         if may:
@@ -482,6 +484,9 @@
     def _released(self, names: list[str]) -> None:
         now = self._clock()
         for name in names:
+            machine = self.cluster.machines.get(name)
+            if machine is not None:
+                self.planner.granted(Offer(machine.type.name, machine.zone, machine.spot))
             self.cluster.remove_machine(name, now)
             self.writer.add(Write([wire.delete(store.MACHINE + name)], lambda ok: None))
             self._off_hire(name)
--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -220,7 +220,7 @@
         for need in self.needs:
             need.job.explain("machines are booting", now)
         needs += self._spare_need(now)
-        blocked = {offer for offer, until in self.blocked.items() if until > now}
+        blocked = {offer for offer, until in self.blocked.items() if until > now} | set(self.asked)
         chosen = fleet.choose(needs, list(self.cluster.types.values()), blocked, c.HIRE_COUNT_MOST)
         for need in needs:
             if need.count > 0 and need.job.spec.id:
@@ -262,7 +262,9 @@
         self.blocked[offer] = now + pause
 
     def granted(self, offer: Offer) -> None:
+        """There is some, or will be: we gave one back."""
         self.pauses.pop(offer, None)
+        self.blocked.pop(offer, None)
 
     # --- returning --------------------------------------------------------------------------------
 
