--- a/pepperlatch/fleet.py
+++ b/pepperlatch/fleet.py
@@ -22,6 +22,7 @@
     job: Job
     count: int
     spread: dict[str, int] = field(default_factory=dict)  # tasks per zone, placed or planned
+    spot_only: bool = False  # not worth a dearer machine yet
     turns: int = 1  # tasks that one place can run one after the other before the job is late
 
 
@@ -43,7 +44,7 @@
         taken = 0.0
         for need in needs:
             spec = need.job.spec
-            if need.count <= 0 or not allowed_on(spec, self.offer.type, self.offer.zone, self.offer.spot):
+            if need.count <= 0 or (need.spot_only and not self.offer.spot) or not allowed_on(spec, self.offer.type, self.offer.zone, self.offer.spot):
                 continue
             count = min(need.count, self.slots(spec) * need.turns, zone_room(need, self.offer.zone))
             if count <= 0:
@@ -102,13 +103,14 @@
     spec = need.job.spec
     return [
         (offer, kind) for offer, kind in open_offers
-        if fits_type(spec, kind) and allowed_on(spec, kind.name, offer.zone, offer.spot) and zone_room(need, offer.zone) > 0
+        if (offer.spot or not need.spot_only) and fits_type(spec, kind)
+        and allowed_on(spec, kind.name, offer.zone, offer.spot) and zone_room(need, offer.zone) > 0
     ]  # fmt: skip
 
 
 def _score(offer: Offer, kind: MachineType, needs: list[Need]) -> float:
     """Price per CPU put to use, a little more for types that boot slowly."""
-    trial = [Need(n.job, n.count, dict(n.spread), n.turns) for n in needs if n.count > 0]
+    trial = [Need(n.job, n.count, dict(n.spread), n.spot_only, n.turns) for n in needs if n.count > 0]
     taken = bin_of(offer, kind).fill(trial)
     urgent = any(n.job.spec.kind is Kind.SERVICE or n.job.spec.deadline_s for n in needs if n.count > 0)
     return price_of(offer, kind) / max(taken, EPS) * (1 + (kind.boot_s / 60 if urgent else 0))
--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -25,6 +25,7 @@
     drains_cancelled: int = 0
     needs: list[Need] = field(default_factory=list)
     spare: Spare = field(default_factory=Spare)
+    inside: set[str] = field(default_factory=set)  # jobs within their team's guarantee
 
     # --- placing ----------------------------------------------------------------------------------
 
@@ -40,7 +41,7 @@
 
     def ordered(self, now: float) -> list[Job]:
         jobs = [j for j in self.cluster.jobs.values() if not j.over]
-        inside = quota.within_guarantee(jobs, self.cluster.quota.teams)
+        inside = self.inside = quota.within_guarantee(jobs, self.cluster.quota.teams)
 
         def key(job: Job) -> tuple[float, ...]:
             spec = job.spec
@@ -90,8 +91,18 @@
     def _choose(self, job: Job, machines: list[Machine], zones: list[str], now: float) -> Machine | None:
         if job.spec.kind is Kind.SERVICE and not job.ran and now - job.submitted < c.PIN_WAIT_S and self._cheap_to_be_had(job.spec, now):
             machines = [m for m in machines if not placement.pinned(m, self._cheapest(job.spec))]
+        if self._thrifty(job, now):
+            machines = [m for m in machines if m.spot or m.holds_replicas() or m.used_share() >= c.EMPTYING_SHARE]
         return placement.choose(job, machines, zones, lambda m: self.spare.allows(job.spec, m))
 
+    def _thrifty(self, job: Job, now: float) -> bool:
+        """Work beyond a guarantee that has much time left waits for cheap room, and lets dear machines get empty."""
+        spec = job.spec
+        if spec.kind is not Kind.ARRAY or not spec.spot or spec.id in self.inside or self._turns(job, now) <= 1:
+            return False
+        waited = now - job.submitted
+        return waited < c.THRIFT_SHARE * (waited + supply.slack_s(job, self.cluster.params.objectives, now))
+
     def _cheapest(self, spec: JobSpec) -> float:
         """The lowest price of an ordinary machine that the task fits."""
         return min((t.price for t in self.cluster.types.values() if fits_type(spec, t)), default=0.0)
@@ -141,7 +152,7 @@
     def preempt(self, now: float) -> None:
         """Make room for what may preempt, stopping the tasks that lose least."""
         left = c.PREEMPT_MOST
-        inside = quota.within_guarantee((j for j in self.cluster.jobs.values() if not j.over), self.cluster.quota.teams)
+        inside = self.inside
         stopping = sum(1 for m in self.cluster.machines.values() for a in m.attempts.values() if not a.wanted)
         for need in self.needs:
             job = need.job
@@ -213,7 +224,7 @@
 
     def rent(self, now: float) -> list[Offer]:
         """What to ask the cloud for, after counting on what is already booting."""
-        needs = [Need(n.job, n.count, dict(n.spread), self._turns(n.job, now)) for n in self.needs]
+        needs = [Need(n.job, n.count, dict(n.spread), self._thrifty(n.job, now), self._turns(n.job, now)) for n in self.needs]
         for room in self.booting_bins(now):
             room.fill(needs)
         self._count_on_finishing(needs, now)
