Ask others about silent machines before giving them up; pass on their reports at once

Now the other controllers are asked first; what they reach is relayed at once and kept, so that the rest can be given up after 5.5 s. A story fails without.

--- a/pepperlatch/cluster.py
+++ b/pepperlatch/cluster.py
@@ -324,6 +324,10 @@
         elif task.why in wire.TASK_BLOCKERS:
             job.not_before = now + c.JOB_BACKOFF_S
 
+    def relayed(self, now: float) -> list[str]:
+        """Machines that only other controllers reach: they are to pass on their reports at once."""
+        return [m.name for m in self.machines.values() if now < m.relay_until]
+
     # --- machines going ---------------------------------------------------------------------------
 
     def _all_gone(self, machine: Machine, now: float) -> None:
--- a/pepperlatch/constants.py
+++ b/pepperlatch/constants.py
@@ -41,8 +41,8 @@
 
 # --- workers --------------------------------------------------------------------------------------
 COMMAND_S: Final = 2.0  # s; a worker answers at once, this allows one lost packet
-PROBE_S: Final = 1.0  # s; deadline for asking a silent machine directly
-SILENT_REPORTS: Final = 1.6  # report intervals without a report before a machine is asked directly
+PROBE_S: Final = 0.8  # s; deadline for asking a silent machine directly
+SILENT_REPORTS: Final = 1.4  # report intervals without a report before a machine is asked directly
 SILENT_PROBES: Final = 2  # unanswered questions before a silent machine is given up
 SILENT_MANY_SHARE: Final = 0.34  # share; if more machines are silent at once, the network is at fault
 SILENT_LONG_S: Final = 90.0  # s; even if many are silent, machines that earn nothing are not paid for longer
--- a/pepperlatch/daemon.py
+++ b/pepperlatch/daemon.py
@@ -21,7 +21,7 @@
 from pepperlatch.leadership import Leadership, Term, hold_seconds
 from pepperlatch.model import split_task
 from pepperlatch.owner import Owner, Reply
-from pepperlatch.settings import Peer, Settings, split_address
+from pepperlatch.settings import Peer, Settings, SettingsError, split_address
 from pepperlatch.state import StateClient
 from pepperlatch.store import Replica, Watched
 from pepperlatch.users import Progress, Users
@@ -30,6 +30,7 @@
 
 log = logging.getLogger(__name__)
 PEER_BEAT, PEER_CONTACT, PEER_BAR, PEER_HEALTH = "/peer/beat", "/peer/contact", "/peer/bar", "/peer/health"
+PEER_INSPECT = "/peer/inspect"
 
 
 @dataclass(slots=True)
@@ -52,6 +53,11 @@
 class PeerMessage(msgspec.Struct):
     node: str
     token: int
+    relay: list[str] = []  # machines that the leader reaches only through others
+
+
+class InspectMessage(msgspec.Struct):
+    addr: str
 
 
 def _message(body: bytes) -> PeerMessage | None:
@@ -106,7 +112,10 @@
         if term is None:
             self.leader = None
             return
-        self.leader = Leader(self.settings, term, self.replica, self.state, self.cloud, self.workers, self.owner, self._clock, self._wall)
+        self.leader = Leader(
+            self.settings, term, self.replica, self.state, self.cloud, self.workers, self.owner,
+            self._clock, self._wall, self.inspect_through_peers,
+        )  # fmt: skip
         if self._nursery is not None:
             self._nursery.start_soon(self.leader.run)
 
@@ -232,12 +241,35 @@
                 return Response(400, {"error": str(error)})
         if request.path == PEER_CONTACT and request.method == "POST":
             return self._on_contact(request.body)
+        if request.path == PEER_INSPECT and request.method == "POST":
+            return await self._inspect_for_peer(request.body)
         if request.path == PEER_BAR and request.method == "POST":
             return self._on_bar(request.body)
         if request.path == PEER_HEALTH:
             return Response(200, {"state": self._state_good() and self.replica.loaded})
         return await self.admin.handle(request)
 
+    async def _inspect_for_peer(self, body: bytes) -> Response:
+        try:
+            addr = wire.convert(orjson.loads(body), InspectMessage).addr
+            return Response(200, wire.to_plain(await self.workers.inspect(addr)))
+        except (orjson.JSONDecodeError, msgspec.ValidationError, SettingsError) as error:
+            return Response(400, {"error": str(error)})
+        except (NotSent, Lost) as error:
+            return Response(504, {"error": str(error)})
+
+    async def inspect_through_peers(self, addr: str) -> Report | None:
+        """Whether a machine that we cannot reach is alive: others may reach it."""
+        for peer in self.settings.peers:
+            try:
+                status, answer = await self._network.request(peer.addr, "POST", PEER_INSPECT, {"addr": addr}, 2 * c.PROBE_S)
+                if status == 200:
+                    report: Report = wire.convert(answer, Report)
+                    return report
+            except (NotSent, Lost, msgspec.ValidationError):
+                continue
+        return None
+
     def _on_contact(self, body: bytes) -> Response:
         """A follower asks what it may show users, and may stand in for us from now on."""
         leader, asked = self.leader, _message(body)
@@ -252,9 +284,12 @@
 
     def _on_bar(self, body: bytes) -> Response:
         """The leader is in touch: no standing in for a while. It is told for which machines we did, and how long ago."""
-        if _message(body) is None:
+        message = _message(body)
+        if message is None:
             return Response(400, {"error": "wanted: node and token"})
         now = self._clock()
+        for name in message.relay:
+            self._sent[name] = _Sent(now, now + c.RELAY_STICKY_S)
         self._barred_until = now + c.STAND_IN_BAR_S
         oldest = now - 2 * self.settings.params.workers.lease_s
         self._stood_in = {name: at for name, at in self._stood_in.items() if at > oldest}
@@ -289,14 +324,14 @@
     async def _bar(self, leader: Leader, peer: Peer) -> None:
         """Counted from before the question, the promise is shorter for us than for the one that gave it."""
         sent = self._clock()
-        answer = await self._ask_peer(peer, PEER_BAR, leader.term.token)
+        answer = await self._ask_peer(peer, PEER_BAR, leader.term.token, sorted(leader.cluster.relayed(sent)))
         if answer is not None:
             until = sent + c.STAND_IN_BAR_S - c.STAND_IN_SLACK_S
             self.owner.post(lambda: leader.cluster.on_promise(peer.node, answer, until, self._clock()))
 
-    async def _ask_peer(self, peer: Peer, path: str, token: int) -> dict[str, Any] | None:
+    async def _ask_peer(self, peer: Peer, path: str, token: int, relay: list[str] | None = None) -> dict[str, Any] | None:
         try:
-            body = {"node": self.settings.node, "token": token}
+            body = {"node": self.settings.node, "token": token, "relay": relay or []}
             status, answer = await self._network.request(peer.addr, "POST", path, body, c.PROBE_S)
         except (NotSent, Lost):
             return None
--- a/pepperlatch/leader.py
+++ b/pepperlatch/leader.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import trio
@@ -27,6 +27,7 @@
 
 log = logging.getLogger(__name__)
 Clock = Callable[[], float]
+AskOthers = Callable[[str], Awaitable[Report | None]]
 BeatAnswer = dict[str, Any] | None
 
 
@@ -35,7 +36,7 @@
 
     def __init__(
         self, settings: Settings, term: Term, replica: Replica, state: StateClient, cloud: CloudClient,
-        workers: WorkerClient, owner: Owner, clock: Clock, wall: Clock,
+        workers: WorkerClient, owner: Owner, clock: Clock, wall: Clock, ask_others: AskOthers,
     ) -> None:  # fmt: skip
         self.settings = settings
         self.term = term
@@ -46,6 +47,7 @@
         self._owner = owner
         self._clock = clock
         self._wall = wall
+        self._ask_others = ask_others
         now = clock()
         self.cluster = Cluster(settings.node, term.token, settings.params, now, term.hold_s, self._spec_if_over)
         self.planner = Planner(self.cluster, Tuning(replica.tuning[0]))
@@ -537,10 +539,16 @@
         report: Report | None = None
         with contextlib.suppress(NotSent, Lost):
             report = await self._workers.inspect(machine.addr)
-        self._owner.post(lambda: self._probed(machine, report))
+        through_others = False
+        if report is None and machine.probes + 1 >= c.SILENT_PROBES:
+            report = await self._ask_others(machine.addr)
+            through_others = report is not None
+        self._owner.post(lambda: self._probed(machine, report, through_others))
 
-    def _probed(self, machine: Machine, report: Report | None) -> None:
+    def _probed(self, machine: Machine, report: Report | None, through_others: bool) -> None:
         machine.probing = False
+        if through_others:  # its reports are passed on, see Cluster.relayed
+            machine.relay_until = self._clock() + c.RELAY_STICKY_S
         machine.probes += 1
         if report is not None:
             machine.probes = 0
--- a/pepperlatch/model.py
+++ b/pepperlatch/model.py
@@ -107,6 +107,7 @@
     pace: list[float] = field(default_factory=list)  # run time over usual run time of tasks that finished
     probes: int = 0
     probing: bool = False
+    relay_until: float = float("-inf")  # only others reach it
     sending: bool = False
     send_after: float = 0.0
     listed: bool = False  # the cloud has listed it
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -391,6 +391,25 @@
     story(tell)
 
 
+def test_machines_that_only_others_reach_are_not_given_up() -> None:
+    """Two zones apart, with connections that hang: their workers find a way before their leases end."""
+
+    async def tell(world: World) -> None:
+        board = job(1, shape="daemon", pieces=4, apart=True)
+        for zone in "abc":
+            world.cloud.create(zone)
+        await trio.sleep(7)
+        await world.submit(board)
+        await world.until(lambda: world.running(board) == 4, 40)
+        host = world.hosts(board)[0]
+        world.cut(NODES[world.leader()], host.name, "hold")
+        await trio.sleep(3 * LEASE_S)
+        assert world.running(board) == 4 and not host.gone
+        assert world.observer.starts["run-000001"] == 4
+
+    story(tell)
+
+
 def test_the_watch_is_read_anew_when_its_changes_are_no_longer_kept() -> None:
     async def tell(world: World) -> None:
         for index in range(3):
