--- a/pepperlatch/draining.py
+++ b/pepperlatch/draining.py
@@ -67,6 +67,8 @@
         m for m, free in room.items()
         if all(f >= n - 1e-6 for f, n in zip(free, needs, strict=True)) and allowed_on(spec, m.type.name, m.zone, m.spot)
     ]  # fmt: skip
+    if spec.kind is Kind.SERVICE:  # it would be away while the image is fetched
+        fitting = [m for m in fitting if m.holds_image(spec)]
     near = [m for m in fitting if m.zone == source.zone]
     far = [] if spec.kind is Kind.SERVICE or spec.one_zone else [m for m in fitting if _zone_open(attempt, m.zone)]
     return min(near or far, key=lambda m: (room[m][0], m.name), default=None)
