A leader that hears neither workers nor other controllers hands over

Cause: a leader that reaches the state service but nothing else kept its lease, while all workers' leases ran out; relaying and standing in do not help then. Ruled out: that a cut of its users' side alone looks the same (workers and controllers still answer). A story fails without. Drains that had to be cancelled are counted in the view.

--- a/pepperlatch/constants.py
+++ b/pepperlatch/constants.py
@@ -36,6 +36,8 @@
 ELECTION_JITTER_S: Final = 0.15  # s; keeps candidates from asking at the same instant
 HOLD_MARGIN_S: Final = 1.0  # s; kept free between the end of a held lease and the cancel bound
 CLOCK_DRIFT: Final = 0.001  # share; twice the protocol's 0.05 %, for two clocks drifting apart
+HANDOVER_REPORTS: Final = 1.5  # report intervals without a word from anyone before a leader hands over
+HANDOVER_PAUSE_S: Final = 15.0  # s; others lead meanwhile, or it tries again
 FENCE_TRY_S: Final = 1.0  # s; deadline of one try to fence a machine
 FENCE_PAUSE_S: Final = 0.4  # s; between two tries to fence the same machine
 
--- a/pepperlatch/daemon.py
+++ b/pepperlatch/daemon.py
@@ -19,7 +19,7 @@
 from pepperlatch.http.server import Request, Response, Server
 from pepperlatch.leader import Leader
 from pepperlatch.leadership import Leadership, Term, hold_seconds
-from pepperlatch.model import split_task
+from pepperlatch.model import Status, split_task
 from pepperlatch.owner import Owner, Reply
 from pepperlatch.settings import Peer, Settings, SettingsError, split_address
 from pepperlatch.state import StateClient
@@ -90,6 +90,7 @@
         self._sent: dict[str, _Sent] = {}
         self._contact = _Contact()
         self._barred_until = float("-inf")
+        self._peer_answered_at = float("-inf")
         self._stood_in: dict[str, float] = {}  # machines answered in the leader's place, and when
         self._peers_good = False
         self._random = random.Random()
@@ -312,9 +313,18 @@
                 async with trio.open_nursery() as nursery:
                     for peer in self.settings.peers:
                         nursery.start_soon(self._bar, leader, peer)
+                if self._alone(leader):
+                    log.info("neither workers nor other controllers reach this leader: it hands over")
+                    await self.leadership.resign(c.HANDOVER_PAUSE_S)
             elif held is not None and (peer_leads := self._peer(held[0])) is not None:
                 await self._contact_leader(peer_leads, held[1])
 
+    def _alone(self, leader: Leader) -> bool:
+        """Reaching the state service is not enough to lead: reports must come in, directly or passed on."""
+        machines = [m for m in leader.cluster.machines.values() if m.status is Status.UP]
+        since = max([leader.cluster.started, self._peer_answered_at, *(m.seen_at for m in machines)])
+        return bool(machines) and self._clock() - since > c.HANDOVER_REPORTS * self.settings.params.workers.report_s
+
     async def _contact_leader(self, peer: Peer, token: int) -> None:
         sent = self._clock()
         answer = await self._ask_peer(peer, PEER_CONTACT, token)
@@ -326,6 +336,7 @@
         sent = self._clock()
         answer = await self._ask_peer(peer, PEER_BAR, leader.term.token, sorted(leader.cluster.relayed(sent)))
         if answer is not None:
+            self._peer_answered_at = self._clock()
             until = sent + c.STAND_IN_BAR_S - c.STAND_IN_SLACK_S
             self.owner.post(lambda: leader.cluster.on_promise(peer.node, answer, until, self._clock()))
 
@@ -380,7 +391,7 @@
             }
             for m in cluster.machines.values()
         ]  # fmt: skip
-        answer["drains"] = {"begun": planner.drains_done}
+        answer["drains"] = {"begun": planner.drains_begun, "cancelled": planner.drains_cancelled}
         answer["teams"] = [
             {"name": t.name, "cpus": cluster.quota.of(t.name).cpus, "guaranteed": t.cpus, "limit": t.cpus_max}
             for t in self.settings.params.teams
--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -21,8 +21,8 @@
     pauses: dict[Offer, float] = field(default_factory=dict)
     asked: Counter[Offer] = field(default_factory=Counter)  # machines of hires on their way
     drained_at: float = 0.0
-    drains_done: int = 0
-    drains_cancelled: int = 0
+    drains_begun: int = 0
+    drains_cancelled: int = 0  # rounds in which an underused machine could not be drained
     needs: list[Need] = field(default_factory=list)
     spare: Spare = field(default_factory=Spare)
     inside: set[str] = field(default_factory=set)  # jobs within their team's guarantee
@@ -303,8 +303,9 @@
         knobs = self.tuning
         choice = draining.choose(machines, knobs["drain_threshold"], knobs["drain_age_s"], knobs["drain_lost_s"], now, self._needed)
         if choice is None:
+            self.drains_cancelled += bool(draining.underused(machines, knobs["drain_threshold"]))
             return
-        self.drains_done += 1
+        self.drains_begun += 1
         choice.machine.draining = "underused"
         self.cluster.to_record.add(choice.machine)
         for attempt, target in choice.moves:
--- a/pepperlatch/wire.py
+++ b/pepperlatch/wire.py
@@ -286,10 +286,6 @@
     return int(answer["ledger_mark"])
 
 
-def version_of(answer: dict[str, Any]) -> int:
-    return int(answer["stamp"])
-
-
 def lease_body(ttl_ms: int) -> dict[str, Any]:
     return {"life_ms": ttl_ms}
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -410,6 +410,24 @@
     story(tell)
 
 
+def test_a_leader_that_reaches_only_the_state_service_hands_over() -> None:
+    async def tell(world: World) -> None:
+        board = job(1, shape="daemon", pieces=2)
+        await world.submit(board)
+        await world.until(lambda: world.running(board) == 2, 40)
+        old = world.leader()
+        for other in [NODES[i] for i in range(3) if i != old] + [w.name for w in world.workers]:
+            world.cut(NODES[old], other, "hold")
+        await trio.sleep(2 * LEASE_S)
+        assert world.leader() != old
+        await world.heal()
+        await trio.sleep(LEASE_S)
+        assert world.observer.starts["run-000001"] == 2
+        assert world.running(board) == 2
+
+    story(tell)
+
+
 def test_the_watch_is_read_anew_when_its_changes_are_no_longer_kept() -> None:
     async def tell(world: World) -> None:
         for index in range(3):
