A description that one value cannot hold is malformed

It would have failed in the state service, and with it all submissions committed together with it. Found by reading, tested with a long image name.

--- a/pepperlatch/constants.py
+++ b/pepperlatch/constants.py
@@ -30,6 +30,10 @@
 SUBMIT_WAIT_S: Final = 2.0  # s; then the user is told to come back: the user's own limit is 5 s
 RETRY_AFTER_S: Final = 2  # s; told to a user whose request cannot be taken now
 
+MAX_TASKS: Final = 100_000  # tasks; the protocol's limit for one job
+MAX_AMOUNT: Final = 1e9  # CPUs, GB or s; any amount above is a mistake of the sender
+RECORD_BYTES: Final = 512  # bytes; what a job's record holds besides its description
+
 # --- leadership -----------------------------------------------------------------------------------
 LEADER_LEASE_MS: Final = 2400  # ms; a dead leader is replaced after this; six times a slow answer
 LEADER_TOUCH_S: Final = 0.5  # s; four tries fit into one lease
--- a/pepperlatch/users.py
+++ b/pepperlatch/users.py
@@ -21,8 +21,6 @@
 from pepperlatch.wire import JobSpec, JobState, MachineType
 
 log = logging.getLogger(__name__)
-MAX_TASKS = 100_000  # the protocol's limit
-MAX_AMOUNT = 1e9  # any amount above is a mistake of the sender
 
 
 class Malformed(Exception):
@@ -67,14 +65,20 @@
         raise Malformed(str(error)) from None
     if not store.is_job_id(spec.id):
         raise Malformed("not a job id")
-    if not 1 <= spec.tasks <= MAX_TASKS:
+    if not 1 <= spec.tasks <= c.MAX_TASKS:
         raise Malformed("the number of tasks is out of range")
     amounts = (spec.cpus, spec.gpus, spec.memory_gb, spec.image_gb, spec.estimate_s, spec.checkpoint_s, spec.save_s, spec.deadline_s or 0.0)
-    if not all(math.isfinite(amount) and 0 <= amount <= MAX_AMOUNT for amount in amounts):
+    if not all(math.isfinite(amount) and 0 <= amount <= c.MAX_AMOUNT for amount in amounts):
         raise Malformed("an amount is negative or not finite")
     return spec
 
 
+def check_size(spec: JobSpec, value_kb: float) -> None:
+    """A description that one value cannot hold would fail, and with it all that is committed together with it."""
+    if len(orjson.dumps(wire.to_plain(spec))) > value_kb * 1024 - c.RECORD_BYTES:
+        raise Malformed("the description is too long")
+
+
 def check_possible(spec: JobSpec, settings: Settings, types: list[MachineType]) -> None:
     team = next((t for t in settings.params.teams if t.name == spec.team), None)
     if team is None:
@@ -132,6 +136,7 @@
             return known
         try:
             spec = check_job(value)
+            check_size(spec, self._settings.params.state.value_kb)
             types = self._replica.types or self.types
             if not types:
                 return later()
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -84,6 +84,7 @@
     async def tell(world: World) -> None:
         bodies: list[Any] = [b"", b"[]", b"null", b"{", b'{"name_id": 5}', b'{"name_id": "run-1", "cores": NaN}', b"\xff\xfe"]
         bodies += [job(1, cores=1e999), job(1, pieces=0), job(1, pieces="2"), job(1, name_id="run-a/b"), job(1, name_id="x" * 300)]
+        bodies += [job(1, bundle="x" * 20_000)]
         bodies += [{k: v for k, v in job(1).items() if k != name} for name in ("crew", "cores", "shape", "loaners", "bundle")]
         for body in bodies:
             raw = body if isinstance(body, bytes) else None
