--- a/pepperlatch/cli.py
+++ b/pepperlatch/cli.py
@@ -5,6 +5,12 @@
 import os
 import sys
 
+REMOTE = {
+    "submit": "submit a job from a JSON file",
+    "status": "show a job",
+    "cancel": "cancel a job",
+    "admin": "operators' settings and views",
+}
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
@@ -32,7 +38,7 @@
     commands = parser.add_subparsers(dest="command", required=True)
     run = commands.add_parser("serve", help="run a controller node")
     run.add_argument("--config", required=True, metavar="FILE", help="settings file (TOML)")
-    for name, text in (("submit", "submit a job from a JSON file"), ("status", "show a job"), ("cancel", "cancel a job"), ("admin", "operators' settings and views")):
+    for name, text in REMOTE.items():
         command = commands.add_parser(name, help=text)
         command.add_argument("--node", required=True, metavar="HOST:PORT", help="address of a controller (for admin: its own listener)")
         if name == "admin":
--- a/pepperlatch/cluster.py
+++ b/pepperlatch/cluster.py
@@ -259,7 +259,7 @@
         parts = split_task(task.task)
         job = self.jobs.get(parts[0]) if parts else None
         if attempt is not None:
-            log.info("%s try %d on %s ended: %s", task.task, task.attempt, machine.name, task.why)
+            log.info("%s try %d on %s ended: %s", task.task, task.attempt, machine.name, task.why.value if task.why else "")
             self._remove(attempt, now)
         if parts and job is not None and task.why is Cause.DONE:
             self._finished(job, parts[1], attempt, now)
@@ -343,12 +343,12 @@
 
     def expire(self, now: float) -> None:
         for machine in list(self.machines.values()):
-            if machine.status in (Status.UP, Status.LEAVING) and self.lease_over(machine, now):
-                if machine.attempts or machine.name in self.unaccounted:
-                    log.info("the lease of %s is over", machine.name)
-                    self._all_gone(machine, now)
-                    self.unaccounted.discard(machine.name)
-                    self.dirty = True
+            holds = machine.attempts or machine.name in self.unaccounted
+            if holds and machine.status in (Status.UP, Status.LEAVING) and self.lease_over(machine, now):
+                log.info("the lease of %s is over", machine.name)
+                self._all_gone(machine, now)
+                self.unaccounted.discard(machine.name)
+                self.dirty = True
 
     # --- orders -----------------------------------------------------------------------------------
 
--- a/pepperlatch/http/server.py
+++ b/pepperlatch/http/server.py
@@ -81,7 +81,7 @@
     async def _event(self, conn: h11.Connection, stream: trio.abc.Stream, seconds: float) -> Any:
         with trio.move_on_after(seconds):
             while (event := conn.next_event()) is h11.NEED_DATA:
-                conn.receive_data(await stream.receive_some(c.READ_CHUNK_BYTES))
+                conn.receive_data(bytes(await stream.receive_some(c.READ_CHUNK_BYTES)))
             return event
         return h11.ConnectionClosed()
 
--- a/pepperlatch/leader.py
+++ b/pepperlatch/leader.py
@@ -1,5 +1,6 @@
 """What a node does while it leads: carries out what the cluster and the planner decide."""
 
+import contextlib
 import logging
 from collections.abc import Callable
 from typing import Any
@@ -173,7 +174,7 @@
             return
         machine = self.cluster.on_report(report, now, beat=True)
         self._after_report()
-        if machine is None or machine.status is Status.LEAVING and machine.name in self.cluster.gone:
+        if machine is None:
             reply.give(None)
             return
         self._beats.append((machine, report.seq, reply))
@@ -527,10 +528,8 @@
 
     async def _probe(self, machine: Machine) -> None:
         report: Report | None = None
-        try:
+        with contextlib.suppress(NotSent, Lost):
             report = await self._workers.inspect(machine.addr)
-        except (NotSent, Lost):
-            pass
         self._owner.post(lambda: self._probed(machine, report))
 
     def _probed(self, machine: Machine, report: Report | None) -> None:
--- a/pepperlatch/placement.py
+++ b/pepperlatch/placement.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
+from pepperlatch import constants as c
 from pepperlatch.model import Job, Machine, Status, allowed_on
 from pepperlatch.wire import Kind
 
@@ -41,8 +42,6 @@
 
 
 def is_slow(machine: Machine) -> bool:
-    from pepperlatch import constants as c
-
     recent = machine.pace[-c.SLOW_SAMPLES :]
     return len(recent) >= c.SLOW_SAMPLES and sorted(recent)[len(recent) // 2] > c.SLOW_FACTOR
 
--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -7,7 +7,7 @@
 from pepperlatch import draining, fleet, placement, quota
 from pepperlatch.cluster import Cluster
 from pepperlatch.fleet import Bin, Need, Offer
-from pepperlatch.model import Attempt, Job, Machine, Phase, Status
+from pepperlatch.model import Attempt, Job, Machine, Phase, Status, allowed_on
 from pepperlatch.tuning import Tuning
 from pepperlatch.wire import RANK, Kind, TaskState
 
@@ -127,35 +127,38 @@
             if RANK[job.spec.priority] > 1 and job.spec.id not in inside:
                 continue
             for _ in range(min(need.count, left)):
-                victims = self._victims(job, job.spec.id in inside, now)
+                victims = self._victims(job, inside, now)
                 if not victims:
                     break
                 for victim in victims:
                     self.cluster.stop(victim, victim.job.spec.save_s)
                 left -= len(victims)
 
-    def _may_stop(self, victim: Attempt, job: Job, guaranteed: bool) -> bool:
-        other = victim.job.spec
+    def _may_stop(self, victim: Attempt, job: Job, inside: set[str]) -> bool:
+        """Only what would also be placed after the job: else it takes the room back, again and again."""
+        other, guaranteed = victim.job.spec, job.spec.id in inside
         if not victim.wanted or victim.phase is not Phase.THERE or other.kind is not Kind.ARRAY:
             return False
+        if (other.id not in inside, RANK[other.priority]) <= (not guaranteed, RANK[job.spec.priority]):
+            return False
         if RANK[other.priority] > RANK[job.spec.priority]:
             return True
         return guaranteed and other.team != job.spec.team and self.cluster.quota.over_guarantee(other.team)
 
-    def _victims(self, job: Job, guaranteed: bool, now: float) -> list[Attempt]:
+    def _victims(self, job: Job, inside: set[str], now: float) -> list[Attempt]:
         best: tuple[float, list[Attempt]] | None = None
         zones = set(placement.zones_open(job, self.cluster.params.zones))
         for machine in self.usable(now):
-            if machine.zone not in zones or not placement.allowed_on(job.spec, machine.type.name, machine.zone, machine.spot):
+            if machine.zone not in zones or not allowed_on(job.spec, machine.type.name, machine.zone, machine.spot):
                 continue
-            victims = self._enough(job, machine, guaranteed, now)
+            victims = self._enough(job, machine, inside, now)
             if victims:
                 cost = sum(lost_work(a, now) for a in victims)
                 if best is None or cost < best[0]:
                     best = (cost, victims)
         return best[1] if best else []
 
-    def _enough(self, job: Job, machine: Machine, guaranteed: bool, now: float) -> list[Attempt]:
+    def _enough(self, job: Job, machine: Machine, inside: set[str], now: float) -> list[Attempt]:
         spec = job.spec
         free = [machine.free_cpus, machine.free_gpus, machine.free_gb]
         need = (spec.cpus, spec.gpus, spec.memory_gb)
@@ -163,7 +166,7 @@
         for victim in sorted(machine.attempts.values(), key=lambda a: lost_work(a, now)):
             if all(f >= n - 1e-6 for f, n in zip(free, need, strict=True)):
                 return victims
-            if self._may_stop(victim, job, guaranteed):
+            if self._may_stop(victim, job, inside):
                 victims.append(victim)
                 gains = (victim.job.spec.cpus, victim.job.spec.gpus, victim.job.spec.memory_gb)
                 free = [f + g for f, g in zip(free, gains, strict=True)]
@@ -213,9 +216,8 @@
         for machine in self.cluster.machines.values():
             if machine.status is not Status.UP or machine.attempts or machine.idle_since is None:
                 continue
-            if machine.quarantined or machine.notice_at is not None or machine.draining is not None:
-                out.append(machine)
-            elif not wanted and now - machine.idle_since >= self.tuning["idle_s"] and now - machine.born >= c.MIN_CHARGE_S - 5:
+            useless = machine.quarantined or machine.notice_at is not None or machine.draining is not None
+            if useless or (not wanted and now - machine.idle_since >= self.tuning["idle_s"] and now - machine.born >= c.MIN_CHARGE_S - 5):
                 out.append(machine)
         return out
 
@@ -239,7 +241,7 @@
     def _needed(self, machine: Machine) -> bool:
         """Whether a waiting task would fit there."""
         return any(
-            machine.has_room(n.job.spec) and placement.allowed_on(n.job.spec, machine.type.name, machine.zone, machine.spot)
+            machine.has_room(n.job.spec) and allowed_on(n.job.spec, machine.type.name, machine.zone, machine.spot)
             for n in self.needs
         )
 
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,588 @@
+"""A world in memory: network, state service, cloud and workers that speak the protocol, under virtual time.
+
+The network can cut links (refusing, or holding packets and delivering them late). An observer in the
+workers checks the protocol's rules; it knows nothing of the code under test.
+"""
+
+import itertools
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+import trio
+import trio.testing
+
+from pepperlatch.daemon import Node
+from pepperlatch.http.client import Lost, NotSent
+from pepperlatch.http.server import Request
+from pepperlatch.settings import parse
+
+STATE, CLOUD = "10.2.0.1:1", "10.2.0.2:1"
+NODES = ["perch-0", "perch-1", "perch-2"]
+ZONES = ["a", "b", "c"]
+LEASE_S, REPORT_S, CANCEL_S = 12.0, 2.0, 30.0
+Answer = tuple[int, Any]
+
+
+def settings_of(index: int) -> Any:
+    peers = "".join(
+        f'[[members]]\nnode_name="{n}"\nzone="{ZONES[i]}"\nendpoint="10.0.0.{i}:2"\n' for i, n in enumerate(NODES) if i != index
+    )
+    return parse(
+        f"""
+node_name = "{NODES[index]}"
+zone = "{ZONES[index]}"
+bind = "10.0.0.{index}:1"
+peer_listen = "10.0.0.{index}:2"
+{peers}
+[outside]
+cloud = "{CLOUD}"
+state = "{STATE}"
+[params]
+nodes = 3
+zones = ["a", "b", "c"]
+[[params.teams]]
+name = "red"
+cpus = 16.0
+cpus_max = 32.0
+[[params.teams]]
+name = "blue"
+cpus = 8.0
+cpus_max = 16.0
+[params.workers]
+report_s = {REPORT_S}
+lease_s = {LEASE_S}
+gang_wait_s = 20.0
+gang_peer_s = 3.0
+cancel_s = {CANCEL_S}
+[params.state]
+rps = 300.0
+write_rps = 100.0
+value_kb = 16.0
+txn_ops = 16
+[params.cloud]
+rps = 10.0
+list_lag_s = 2.0
+[params.machine_limits]
+cpu = 0.5
+mem_mb = 150.0
+sockets = 500
+"""
+    )
+
+
+def job(number: int, **changes: Any) -> dict[str, Any]:
+    body = {
+        "name_id": f"run-{number:06d}", "jobclass": "x", "crew": "red", "shape": "sweep", "urgency": "standard", "pieces": 2,
+        "cores": 2.0, "gpus": 0.0, "memory_gb": 1.0, "bundle": "img", "pull_gb": 1.0, "builds": None, "yard": None,
+        "one_zone": False, "apart": False, "loaners": False, "expected_s": 10.0, "snapshot_every_s": 0.0,
+        "snapshot_cost_s": 0.0, "due_s": None,
+    }  # fmt: skip
+    return {**body, **changes}
+
+
+class FakeState:
+    """The state service: keys, transactions, leases, watches; `out` answers 503 to all, `refused` to some."""
+
+    def __init__(self) -> None:
+        self.keys: dict[str, tuple[Any, int, int | None]] = {}
+        self.log: list[dict[str, Any]] = []
+        self.oldest = 0
+        self.revision = 0
+        self.leases: dict[int, list[float]] = {}
+        self.out = False
+        self.refused: set[str] = set()
+        self._ids = itertools.count(1)
+        self._changed = trio.Event()
+
+    async def serve(self, source: str, method: str, path: str, body: Any) -> Answer:
+        if self.out or source in self.refused:
+            return 503, {"error": "trouble"}
+        url = urlsplit(path)
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        if url.path == "/txn":
+            return self.txn(body)
+        if url.path == "/changes":
+            return await self.changes(source, query)
+        if url.path.startswith("/leases"):
+            return self.lease(method, url.path.split("/")[2:], body)
+        if url.path == "/keys":
+            return self.page(query)
+        held = self.keys.get(url.path[len("/keys/") :])
+        if held is None:
+            return 404, {"ledger_mark": self.revision}
+        return 200, {"k": url.path[len("/keys/") :], "value": held[0], "stamp": held[1]}
+
+    def page(self, query: dict[str, str]) -> Answer:
+        names = sorted(k for k in self.keys if k.startswith(query["under"]) and k > query.get("after", ""))
+        most = int(query.get("page", "1000"))
+        pairs = [{"k": k, "value": self.keys[k][0], "stamp": self.keys[k][1]} for k in names[:most]]
+        return 200, {"pairs": pairs, "truncated": len(names) > most, "ledger_mark": self.revision}
+
+    def txn(self, body: Any) -> Answer:
+        failed = [c["k"] for c in body["when"] if (self.keys[c["k"]][1] if c["k"] in self.keys else 0) != c["stamp"]]
+        writes = body.get("writes", [])
+        if any(w.get("tenancy") is not None and w["tenancy"] not in self.leases for w in writes):
+            return 400, {"error": "no such lease"}
+        if failed:
+            return 409, {"failed": failed, "ledger_mark": self.revision}
+        if writes:
+            self.change(writes)
+        return 200, {"ledger_mark": self.revision}
+
+    def change(self, writes: list[dict[str, Any]]) -> None:
+        self.revision += 1
+        for write in writes:
+            if "set" in write:
+                self.keys[write["set"]] = (write["value"], self.revision, write.get("tenancy"))
+                self.log.append({"set": write["set"], "value": write["value"], "stamp": self.revision})
+            elif self.keys.pop(write["delete"], None) is not None:
+                self.log.append({"delete": write["delete"], "stamp": self.revision})
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def changes(self, source: str, query: dict[str, str]) -> Answer:
+        after, until = int(query["after"]), trio.current_time() + int(query.get("wait_ms", "0")) / 1000
+        if after < self.oldest:
+            return 410, {}
+        while True:
+            seen = not self.out and source not in self.refused
+            events = [e for e in self.log if e["stamp"] > after and (e.get("set") or e["delete"]).startswith(query["under"])]
+            left = until - trio.current_time()
+            if seen and (events or left <= 0):
+                return 200, {"ledger_mark": self.revision, "log": events}
+            with trio.move_on_after(max(left, 0.1)):
+                await self._changed.wait()
+
+    def forget_changes(self) -> None:
+        self.oldest, self.log = self.revision, []
+
+    def lease(self, method: str, parts: list[str], body: Any) -> Answer:
+        if not parts:
+            lease = next(self._ids)
+            self.leases[lease] = [body["life_ms"] / 1000, trio.current_time() + body["life_ms"] / 1000]
+            return 200, {"tenancy": lease}
+        lease = int(parts[0])
+        if lease not in self.leases:
+            return 404, {}
+        if method == "DELETE":
+            self.end(lease)
+        else:
+            self.leases[lease][1] = trio.current_time() + self.leases[lease][0]
+        return 200, {"tenancy": lease}
+
+    def end(self, lease: int) -> None:
+        del self.leases[lease]
+        gone = [{"delete": k} for k, held in self.keys.items() if held[2] == lease]
+        if gone:
+            self.change(gone)
+
+    async def run(self) -> None:
+        while True:
+            await trio.sleep(0.05)
+            now = trio.current_time()
+            for lease, held in list(self.leases.items()):
+                if self.out:
+                    held[1] = now + held[0]
+                elif now > held[1]:
+                    self.end(lease)
+
+    def job_state(self, job_id: str) -> str | None:
+        held = self.keys.get(f"j/job/{job_id}")
+        return held[0]["state"] if held else None
+
+
+class FakeCloud:
+    TYPES = [
+        {"sku": "m8", "cores": 8.0, "gpus": 0.0, "memory_gb": 32.0, "cache_gb": 20.0, "pull_gb_per_s": 1.0, "rate": 1.0,
+         "market_price": 0.3, "ready_s": 5.0, "yards": ZONES}
+    ]  # fmt: skip
+
+    def __init__(self, world: "World") -> None:
+        self.world = world
+        self.hires: dict[str, list[str]] = {}
+        self.machines: dict[str, Worker] = {}
+        self.capacity = Counter({zone: 3 for zone in ZONES})
+        self.never_up = 0
+        self.out = False
+
+    async def serve(self, source: str, method: str, path: str, body: Any) -> Answer:
+        if self.out:
+            return 503, {"error": "trouble"}
+        if path.startswith("/flavors"):
+            return 200, {"builds": self.TYPES}
+        if path == "/hosts/release":
+            for name in body["perches"]:
+                if name in self.machines:
+                    self.machines.pop(name).vanish()
+            return 200, {}
+        if method == "POST":
+            return self.hire(body)
+        rows = [
+            {"name_id": n, "endpoint": w.addr, "build": "m8", "yard": w.zone, "loaners": False,
+             "status": "running" if w.up else "starting", "held_s": trio.current_time() - w.born}
+            for n, w in self.machines.items()
+        ]  # fmt: skip
+        return 200, {"perches": rows, "truncated": False}
+
+    def hire(self, body: Any) -> Answer:
+        if body["hire"] not in self.hires:
+            count = min(body["count"], self.room(body["yard"])) if not body["loaners"] else 0
+            if count <= 0:
+                return 503, {"error": "no capacity"}
+            self.hires[body["hire"]] = [self.create(body["yard"]).name for _ in range(count)]
+        return 200, {"perches": self.hires[body["hire"]]}
+
+    def room(self, zone: str) -> int:
+        return self.capacity[zone] - sum(1 for w in self.machines.values() if w.zone == zone)
+
+    def create(self, zone: str) -> "Worker":
+        number = len(self.world.workers)
+        worker = Worker(self.world, f"n-{number:06d}", f"10.1.0.{number}:9000", zone, broken=self.never_up > 0)
+        self.never_up -= worker.broken
+        self.world.workers.append(worker)
+        self.machines[worker.name] = worker
+        self.world.nursery.start_soon(worker.run)
+        return worker
+
+
+@dataclass
+class FakeTask:
+    job: dict[str, Any]
+    number: int
+    attempt: int
+    state: str = "pulling"
+    why: str | None = None
+    at: float = 0.0  # when the present state began
+    started: bool = False
+
+
+@dataclass(eq=False)
+class Worker:
+    """One machine's worker. `fails` makes every task end with an error; `hung` stops it answering."""
+
+    world: "World"
+    name: str
+    addr: str
+    zone: str
+    broken: bool = False
+    fails: bool = False
+    up: bool = False
+    gone: bool = False
+    tenure: int = 1
+    tally: int = 0
+    baton: int = 0
+    tasks: dict[tuple[str, int], FakeTask] = field(default_factory=dict)
+    images: set[str] = field(default_factory=set)
+    node: int = 0
+    lease_from: float = 0.0
+    notice: float | None = None
+    born: float = field(default_factory=trio.current_time)
+
+    def vanish(self) -> None:
+        self.gone, self.up = True, False
+        self.tasks.clear()
+
+    def report(self) -> dict[str, Any]:
+        self.tally += 1
+        rows = [
+            {"piece": name, "try": attempt, "status": t.state, **({"cause": t.why} if t.why else {})}
+            for (name, attempt), t in self.tasks.items()
+        ]
+        return {
+            "perch": self.name, "endpoint": self.addr, "build": "m8", "yard": self.zone, "loaners": False, "tenure": self.tenure,
+            "tally": self.tally, "baton": self.baton, "reclaim_in_s": self.notice, "pieces": rows,
+        }  # fmt: skip
+
+    async def serve(self, source: str, method: str, path: str, body: Any) -> Answer:
+        if method == "GET":
+            return 200, self.report()
+        if body["baton"] < self.baton or body["tenure"] != self.tenure:
+            return 409, self.report()
+        self.baton = body["baton"]
+        self.execute(body["orders"])
+        return 200, self.report()
+
+    def execute(self, orders: list[dict[str, Any]]) -> None:
+        for order in orders:
+            key = (order["piece"], order["try"])
+            task = self.tasks.get(key)
+            if order["verb"] == "launch" and task is None:
+                self.launch(key)
+            elif order["verb"] == "kill" and task and task.state != "ended":
+                self.end(task, "halted")
+            elif order["verb"] == "reap" and task and task.state == "ended":
+                del self.tasks[key]
+
+    def launch(self, key: tuple[str, int]) -> None:
+        job_id, _, number = key[0].rpartition("/")
+        spec = self.world.jobs[job_id]
+        self.tasks[key] = task = FakeTask(spec, int(number), key[1], at=trio.current_time())
+        used = sum(t.job["cores"] for t in self.tasks.values() if t.state != "ended")
+        if used > 8.0:
+            self.end(task, "full")
+        elif any(k[0] == key[0] and k != key and t.state != "ended" for k, t in self.tasks.items()):
+            self.end(task, "in_use")
+
+    def end(self, task: FakeTask, why: str) -> None:
+        task.state, task.why = "ended", why
+
+    def step(self) -> None:
+        now = trio.current_time()
+        for task in list(self.tasks.values()):
+            if task.state == "pulling" and (task.job["bundle"] in self.images or now - task.at >= task.job["pull_gb"]):
+                self.images.add(task.job["bundle"])
+                self.start(task)
+            elif task.state == "waiting" and self.world.gang_ready(task):
+                task.state, task.at = "running", now
+            elif task.state == "running" and task.job["shape"] != "daemon" and now - task.at >= task.job["expected_s"]:
+                self.end(task, "done")
+                self.world.observer.done[task.job["name_id"]].add(task.number)
+
+    def start(self, task: FakeTask) -> None:
+        if self.fails:
+            self.end(task, "error")
+            return
+        task.state = "waiting" if task.job["shape"] == "group" else "running"
+        task.at, task.started = trio.current_time(), True
+        self.world.observer.started(self, task)
+
+    async def run(self) -> None:
+        await trio.sleep(5.0)
+        if self.broken:
+            return
+        self.up = not self.gone
+        self.lease_from = trio.current_time()
+        self.world.nursery.start_soon(self.work)
+        while not self.gone:
+            sent, tenure = trio.current_time(), self.tenure
+            try:
+                status, answer = await self.world.send(self.name, f"10.0.0.{self.node}:1", "POST", "/agent/beat", self.report(), 4.0)
+            except (NotSent, Lost):
+                status, answer = 0, None
+            if status == 200 and answer["baton"] >= self.baton and tenure == self.tenure:
+                self.baton, self.lease_from = answer["baton"], sent
+                self.execute(answer["orders"])
+                await trio.sleep(REPORT_S)
+            elif status == 421 and answer.get("foreman") in NODES and NODES.index(answer["foreman"]) != self.node:
+                self.node = NODES.index(answer["foreman"])
+            else:
+                self.node = (self.node + 1) % 3
+                await trio.sleep(1.0)
+
+    async def work(self) -> None:
+        while not self.gone:
+            await trio.sleep(0.1)
+            if trio.current_time() - self.lease_from > LEASE_S:
+                self.tasks.clear()
+                self.tenure += 1
+                self.lease_from = trio.current_time()
+            self.step()
+
+
+class Observer:
+    """Checks the rules as the machines see them."""
+
+    def __init__(self, world: "World") -> None:
+        self.world = world
+        self.broken: list[str] = []
+        self.done: dict[str, set[int]] = {}
+        self.cancelled: dict[str, float] = {}
+        self.told: dict[str, str] = {}
+        self.starts: Counter[str] = Counter()
+
+    def started(self, worker: Worker, task: FakeTask) -> None:
+        job_id, spec = task.job["name_id"], task.job
+        self.starts[job_id] += 1
+        others = [(w, t) for w in self.world.workers for t in w.tasks.values() if t.started and t.state != "ended" and t is not task]
+        if any(t.job is spec and t.number == task.number for _, t in others):
+            self.broken.append(f"ran_twice {job_id}/{task.number}")
+        zones = [w.zone for w, t in others if t.job is spec]
+        wrong = (spec["apart"] and zones.count(worker.zone) + 1 > (spec["pieces"] + 1) // 2) or (spec["one_zone"] and any(z != worker.zone for z in zones))
+        if wrong or spec["yard"] not in (None, worker.zone):
+            self.broken.append(f"wrong_place {job_id}/{task.number}")
+        used = sum(t.job["cores"] for _, t in others if t.job["crew"] == spec["crew"]) + spec["cores"]
+        if used > {"red": 32.0, "blue": 16.0}[spec["crew"]]:
+            self.broken.append(f"quota {spec['crew']}")
+        self.check_cancelled(job_id)
+
+    def check_cancelled(self, job_id: str) -> None:
+        if trio.current_time() - self.cancelled.get(job_id, 1e18) > CANCEL_S:
+            self.broken.append(f"ran_cancelled {job_id}")
+
+    async def run(self) -> None:
+        while True:
+            await trio.sleep(0.5)
+            for worker in self.world.workers:
+                for task in worker.tasks.values():
+                    if task.started and task.state != "ended":
+                        self.check_cancelled(task.job["name_id"])
+
+    def answered(self, job_id: str, answer: Any) -> None:
+        state = answer["status"]
+        if state == "done" and len(self.done[job_id]) < self.world.jobs[job_id]["pieces"]:
+            self.broken.append(f"not_done {job_id}")
+        if self.told.get(job_id) in ("done", "withdrawn") and state != self.told[job_id]:
+            self.broken.append(f"went_back {job_id}")
+        self.told[job_id] = state
+
+
+class World:
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.nursery = nursery
+        self.state = FakeState()
+        self.cloud = FakeCloud(self)
+        self.workers: list[Worker] = []
+        self.jobs: dict[str, dict[str, Any]] = {}
+        self.observer = Observer(self)
+        self.nodes: dict[int, Node] = {}
+        self.scopes: dict[int, trio.CancelScope] = {}
+        self.cuts: dict[tuple[str, str], str] = {}
+        self.held: list[tuple[tuple[str, str], Callable[[], Awaitable[Any]]]] = []
+        self.lose_answer: Callable[[str, str, Any], bool] = lambda source, path, body: False
+
+    # --- network ----------------------------------------------------------------------------------
+
+    def _host(self, addr: str) -> tuple[str, Any]:
+        if addr == STATE:
+            return "state", self.state
+        if addr == CLOUD:
+            return "cloud", self.cloud
+        for worker in self.workers:
+            if worker.addr == addr and worker.up:
+                return worker.name, worker
+        host, _, port = addr.rpartition(":")
+        index = int(host.rsplit(".", 1)[1])
+        if host.startswith("10.0.") and index in self.nodes:
+            return NODES[index], _NodeHost(self.nodes[index], port == "2")
+        raise NotSent(addr)
+
+    async def send(self, source: str, addr: str, method: str, path: str, body: Any, deadline: float) -> Answer:
+        await trio.sleep(0.002)
+        name, host = self._host(addr)
+        mode = self.cuts.get((source, name)) or self.cuts.get((name, source))
+        body = orjson.loads(orjson.dumps(body)) if body is not None else None
+        if mode == "refuse":
+            raise NotSent(addr)
+        if mode == "hold":
+            self.held.append(((source, name), lambda: host.serve(source, method, path, body)))
+            await trio.sleep(deadline)
+            raise Lost(path)
+        with trio.move_on_after(deadline):
+            answer: Answer = await host.serve(source, method, path, body)
+            await trio.sleep(0.002)
+            if self.lose_answer(source, path, body):
+                raise Lost(path)
+            return answer[0], (orjson.loads(orjson.dumps(answer[1])))
+        raise Lost(path)
+
+    def cut(self, one: str, other: str, mode: str) -> None:
+        self.cuts[(one, other)] = mode
+
+    async def heal(self) -> None:
+        """End all cuts; what was held arrives now, in order."""
+        self.cuts.clear()
+        held, self.held = self.held, []
+        for _, deliver in held:
+            await deliver()
+
+    # --- nodes ------------------------------------------------------------------------------------
+
+    def start(self, index: int) -> None:
+        node = Node(settings_of(index), _Link(self, NODES[index]), trio.current_time, lambda: 1e9 + trio.current_time())
+        self.nodes[index] = node
+        self.nursery.start_soon(self._run, index, node)
+
+    async def _run(self, index: int, node: Node) -> None:
+        with trio.CancelScope() as self.scopes[index]:
+            await node.run()
+
+    def kill(self, index: int) -> None:
+        del self.nodes[index]
+        self.scopes[index].cancel()
+
+    def leader(self) -> int:
+        return next(i for i, n in self.nodes.items() if n.leader is not None and not n.leader.term.over)
+
+    # --- users ------------------------------------------------------------------------------------
+
+    async def ask(self, index: int, method: str, path: str, body: Any = None) -> Answer:
+        status, answer = await self.send("user", f"10.0.0.{index}:1", method, path, body, 5.0)
+        job_id = (answer or {}).get("name_id")
+        if status in (200, 201) and job_id in self.jobs:
+            self.observer.answered(job_id, answer)
+            if answer["status"] == "withdrawn":
+                self.observer.cancelled.setdefault(job_id, trio.current_time())
+        return status, answer
+
+    async def submit(self, body: dict[str, Any], index: int | None = None) -> Answer:
+        self.jobs[body["name_id"]] = body
+        self.observer.done.setdefault(body["name_id"], set())
+        return await self.ask(min(self.nodes) if index is None else index, "POST", "/work", body)
+
+    async def status(self, body: dict[str, Any], index: int | None = None) -> str:
+        _, answer = await self.ask(min(self.nodes) if index is None else index, "GET", f"/work/{body['name_id']}")
+        return str((answer or {}).get("status"))
+
+    def running(self, body: dict[str, Any]) -> int:
+        return sum(1 for w in self.workers for t in w.tasks.values() if t.job is body and t.state == "running")
+
+    def hosts(self, body: dict[str, Any]) -> list[Worker]:
+        return [w for w in self.workers if any(t.job is body and t.state != "ended" for t in w.tasks.values())]
+
+    def gang_ready(self, task: FakeTask) -> bool:
+        mates = [t for w in self.workers for t in w.tasks.values() if t.job is task.job and t.attempt == task.attempt and t.state in ("waiting", "running")]
+        return len({t.number for t in mates}) == task.job["pieces"]
+
+    async def until(self, condition: Callable[[], bool], seconds: float) -> None:
+        """Wait for the condition; fails the test if it does not come about in time."""
+        with trio.fail_after(seconds):
+            while not condition():
+                await trio.sleep(0.05)
+
+
+@dataclass
+class _Link:
+    """A node's view of the network."""
+
+    world: World
+    source: str
+
+    async def request(self, addr: str, method: str, path: str, body: Any = None, deadline_s: float = 2.0) -> Answer:
+        if self.source not in [NODES[i] for i in self.world.nodes]:
+            await trio.sleep_forever()
+        return await self.world.send(self.source, addr, method, path, body, deadline_s)
+
+
+@dataclass
+class _NodeHost:
+    node: Node
+    peer: bool
+
+    async def serve(self, source: str, method: str, path: str, body: Any) -> Answer:
+        payload = body if isinstance(body, bytes) else orjson.dumps(body) if body is not None else b""
+        handler = self.node.handle_peer if self.peer else self.node.handle
+        response = await handler(Request(method, path, payload))
+        return response.status, response.body
+
+
+def story(tell: Callable[[World], Awaitable[None]]) -> None:
+    """Run a story in a world with three nodes; at its end no rule may have been broken."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            world = World(nursery)
+            nursery.start_soon(world.state.run)
+            nursery.start_soon(world.observer.run)
+            for index in range(3):
+                world.start(index)
+            await world.until(lambda: any(n.leader and n.leader.ready and n.leader.cluster.types for n in world.nodes.values()), 10)
+            await tell(world)
+            assert world.observer.broken == []
+            nursery.cancel_scope.cancel()
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(main, clock=clock)
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,389 @@
+"""Stories of failures, told against a world in memory. `story` checks the rules at the end of each."""
+
+import trio
+
+from tests.fakes import CANCEL_S, LEASE_S, NODES, World, job, story
+
+
+def test_a_job_runs_and_is_done_on_every_node() -> None:
+    async def tell(world: World) -> None:
+        one = job(1)
+        assert (await world.submit(one))[0] == 201
+        assert (await world.submit(one, 1))[0] == 200
+        await world.until(lambda: world.state.job_state("run-000001") == "done", 40)
+        assert [await world.status(one, i) for i in range(3)] == ["done"] * 3
+        assert world.observer.starts["run-000001"] == 2
+        assert (await world.ask(0, "GET", "/work/run-999999"))[0] == 404
+
+    story(tell)
+
+
+def test_a_known_id_counts_more_than_a_bad_body() -> None:
+    async def tell(world: World) -> None:
+        one = job(1)
+        await world.submit(one)
+        assert (await world.ask(1, "POST", "/work", {"name_id": "run-000001"}))[0] == 200
+        assert (await world.ask(1, "POST", "/work", {"name_id": "run-000002"}))[0] == 400
+        assert (await world.ask(1, "POST", "/work", job(3, crew="nobody")))[0] == 422
+        assert (await world.ask(1, "POST", "/work", job(4, cores=9.0)))[0] == 422
+        assert (await world.ask(1, "POST", "/work", job(5, shape="group", pieces=20)))[0] == 422
+        assert (await world.ask(1, "POST", "/work", job(6, cores=-1.0)))[0] == 400
+        assert (await world.ask(1, "POST", "/work", job(7, pieces=100_001)))[0] == 400
+
+    story(tell)
+
+
+def test_limits_and_spread_hold_while_many_jobs_wait() -> None:
+    async def tell(world: World) -> None:
+        jobs = [job(n, crew="blue", pieces=9) for n in range(3)] + [job(9, shape="daemon", pieces=4, apart=True)]
+        for one in jobs:
+            await world.submit(one)
+        await world.until(lambda: all(world.state.job_state(j["name_id"]) == "done" for j in jobs[:3]), 200)
+        await world.until(lambda: world.running(jobs[3]) == 4, 30)
+        zones = [w.zone for w in world.hosts(jobs[3])]
+        assert len(set(zones)) > 1
+
+    story(tell)
+
+
+def test_a_cancelled_job_goes_and_stays_cancelled() -> None:
+    async def tell(world: World) -> None:
+        one = job(1, shape="daemon")
+        await world.submit(one)
+        await world.until(lambda: world.running(one) == 2, 40)
+        assert (await world.ask(2, "POST", "/work/run-000001/cancel"))[1]["status"] == "withdrawn"
+        await world.until(lambda: world.running(one) == 0, 5)
+        await trio.sleep(CANCEL_S + 5)
+        assert await world.status(one, 1) == "withdrawn"
+        assert (await world.submit(one))[0] == 200
+
+    story(tell)
+
+
+def test_the_leader_dies_and_the_next_one_finds_everything() -> None:
+    async def tell(world: World) -> None:
+        board, sweep = job(1, shape="daemon"), job(2, pieces=4)
+        await world.submit(board)
+        await world.submit(sweep)
+        await world.until(lambda: world.running(board) == 2 and world.running(sweep) > 0, 40)
+        old = world.leader()
+        world.kill(old)
+        late = job(3)
+        await world.submit(late)
+        await world.until(lambda: world.state.job_state("run-000002") == "done" and world.state.job_state("run-000003") == "done", 60)
+        assert world.observer.starts["run-000001"] == 2
+
+    story(tell)
+
+
+def test_the_leader_dies_right_after_each_kind_of_step() -> None:
+    """Accepting, hiring, recording, launching, finishing: killed when the answer is about to come."""
+    for path in ("/hosts", "/commands", "/txn"):
+        for nth in (1, 3, 6):
+
+            async def tell(world: World, path: str = path, nth: int = nth) -> None:
+                count = 0
+
+                def lose(source: str, asked: str, body: object) -> bool:
+                    nonlocal count
+                    leaders = [i for i, n in world.nodes.items() if n.leader is not None and NODES[i] == source]
+                    if asked != path or not leaders:
+                        return False
+                    count += 1
+                    if count == nth and len(world.nodes) > 1:
+                        world.kill(leaders[0])
+                        return True
+                    return False
+
+                world.lose_answer = lose
+                one = job(1, pieces=5)
+                status = 503
+                while status not in (200, 201):
+                    try:
+                        status, _ = await world.submit(one)
+                    except Exception:
+                        await trio.sleep(1)
+                await world.until(lambda: world.state.job_state("run-000001") == "done", 90)
+                assert world.observer.starts["run-000001"] == 5
+
+            story(tell)
+
+
+def test_all_nodes_die_at_once_and_nothing_accepted_is_lost() -> None:
+    async def tell(world: World) -> None:
+        board, sweep = job(1, shape="daemon"), job(2, pieces=4)
+        await world.submit(board)
+        await world.submit(sweep)
+        await world.until(lambda: world.running(board) == 2, 40)
+        for index in list(world.nodes):
+            world.kill(index)
+        await trio.sleep(4)
+        for index in range(3):
+            world.start(index)
+        await world.until(lambda: world.state.job_state("run-000002") == "done", 60)
+        assert world.observer.starts["run-000001"] == 2
+
+    story(tell)
+
+
+def test_an_outage_longer_than_every_lease_stops_no_replica() -> None:
+    async def tell(world: World) -> None:
+        board = job(1, shape="daemon")
+        await world.submit(board)
+        await world.until(lambda: world.running(board) == 2, 40)
+        world.state.out = True
+        await trio.sleep(LEASE_S + 6)
+        assert (await world.ask(0, "GET", "/work/run-000001"))[0] == 503
+        assert (await world.ask(0, "GET", "/healthz"))[0] == 200
+        world.state.out = False
+        await trio.sleep(LEASE_S + 6)
+        assert world.observer.starts["run-000001"] == 2
+        assert world.running(board) == 2
+
+    story(tell)
+
+
+def test_a_node_refused_alone_turns_unhealthy_and_another_leads() -> None:
+    async def tell(world: World) -> None:
+        board = job(1, shape="daemon")
+        await world.submit(board)
+        await world.until(lambda: world.running(board) == 2, 40)
+        old = world.leader()
+        world.state.refused.add(NODES[old])
+        await trio.sleep(8)
+        assert (await world.ask(old, "GET", "/healthz"))[0] == 503
+        other = (old + 1) % 3
+        assert (await world.ask(other, "GET", "/healthz"))[0] == 200
+        assert world.leader() != old
+        sweep = job(2)
+        assert (await world.submit(sweep, other))[0] == 201
+        await world.until(lambda: world.state.job_state("run-000002") == "done", 60)
+        assert world.observer.starts["run-000001"] == 2
+
+    story(tell)
+
+
+def test_two_nodes_that_both_believe_they_lead() -> None:
+    """The old leader is cut from the state service with packets held, yet reaches its workers."""
+
+    async def tell(world: World) -> None:
+        sweeps = [job(n, pieces=6) for n in range(1, 4)]
+        for one in sweeps:
+            await world.submit(one)
+        await world.until(lambda: sum(world.running(s) for s in sweeps) >= 4, 40)
+        old = world.leader()
+        world.cut(NODES[old], "state", "hold")
+        world.cut(NODES[old], NODES[(old + 1) % 3], "hold")
+        await trio.sleep(20)
+        await world.submit(job(8), (old + 1) % 3)
+        await trio.sleep(20)
+        await world.heal()
+        await world.until(lambda: all(world.state.job_state(s["name_id"]) == "done" for s in sweeps), 120)
+
+    story(tell)
+
+
+def test_a_direct_launch_that_arrives_minutes_late_starts_nothing() -> None:
+    async def tell(world: World) -> None:
+        warm = job(1, shape="daemon", pieces=1)
+        await world.submit(warm)
+        await world.until(lambda: world.running(warm) == 1, 40)
+        leader, host = world.leader(), world.hosts(warm)[0]
+        held: list[tuple[str, str]] = []
+        world.cut(NODES[leader], host.name, "hold")
+        one = job(2, pieces=2)
+        await world.submit(one)
+        await trio.sleep(6)
+        assert world.held, "the launch should be under way"
+        await world.ask(leader, "POST", "/work/run-000002/cancel")
+        await trio.sleep(CANCEL_S + 10)
+        await world.heal()
+        await trio.sleep(10)
+        assert world.running(one) == 0
+        assert held == []
+
+    story(tell)
+
+
+def test_a_lost_answer_to_a_launch_does_not_start_the_task_elsewhere() -> None:
+    async def tell(world: World) -> None:
+        warm = [job(n, shape="daemon", pieces=1, yard=zone) for n, zone in enumerate("abc", 1)]
+        for one in warm:
+            await world.submit(one)
+        await world.until(lambda: all(world.running(one) == 1 for one in warm), 60)
+        world.lose_answer = lambda source, path, body: path == "/commands"
+        sweep = job(9, pieces=6)
+        await world.submit(sweep)
+        await world.until(lambda: world.state.job_state("run-000009") == "done", 60)
+        assert world.observer.starts["run-000009"] == 6
+
+    story(tell)
+
+
+def test_a_dead_machine_is_given_up_and_its_replica_restored() -> None:
+    async def tell(world: World) -> None:
+        board = job(1, shape="daemon", pieces=2, apart=True)
+        await world.submit(board)
+        await world.until(lambda: world.running(board) == 2, 40)
+        dead = world.hosts(board)[0]
+        dead.vanish()
+        await world.until(lambda: world.running(board) == 2, 25)
+        await world.until(lambda: f"f/machine/{dead.name}" not in world.state.keys, 10)
+
+    story(tell)
+
+
+def test_a_machine_that_fails_everything_is_returned() -> None:
+    async def tell(world: World) -> None:
+        first = job(1)
+        await world.submit(first)
+        await world.until(lambda: bool(world.hosts(first)), 40)
+        bad = world.hosts(first)[0]
+        bad.fails = True
+        for number in range(2, 5):
+            await world.submit(job(number))
+        await world.until(lambda: bad.gone, 40)
+        await world.until(lambda: all(world.state.job_state(f"run-00000{n}") == "done" for n in range(1, 5)), 90)
+
+    story(tell)
+
+
+def test_a_worker_with_a_new_session_gets_its_tasks_again() -> None:
+    async def tell(world: World) -> None:
+        board = job(1, shape="daemon", pieces=1)
+        await world.submit(board)
+        await world.until(lambda: world.running(board) == 1, 40)
+        host = world.hosts(board)[0]
+        for node in NODES:
+            world.cut(host.name, node, "refuse")
+        await trio.sleep(LEASE_S + 2)
+        await world.heal()
+        await world.until(lambda: world.running(board) == 1, 40)
+
+    story(tell)
+
+
+def test_a_leader_that_workers_cannot_reach_is_relayed_to() -> None:
+    async def tell(world: World) -> None:
+        board = job(1, shape="daemon", pieces=2)
+        await world.submit(board)
+        await world.until(lambda: world.running(board) == 2, 40)
+        leader = world.leader()
+        for worker in world.workers:
+            world.cut(worker.name, NODES[leader], "refuse")
+        await trio.sleep(3 * LEASE_S)
+        assert world.observer.starts["run-000001"] == 2
+        assert world.running(board) == 2
+
+    story(tell)
+
+
+def test_the_watch_is_read_anew_when_its_changes_are_no_longer_kept() -> None:
+    async def tell(world: World) -> None:
+        for index in range(3):
+            world.cut(NODES[index], "state", "refuse")
+        await trio.sleep(2.5)
+        world.state.change([{"set": "j/other", "value": 1}])
+        world.state.forget_changes()
+        await world.heal()
+        one = job(1)
+        status = 503
+        while status == 503:
+            await trio.sleep(1)
+            status, _ = await world.submit(one)
+        await world.until(lambda: world.state.job_state("run-000001") == "done", 60)
+
+    story(tell)
+
+
+def test_a_transaction_that_is_applied_late_changes_nothing() -> None:
+    """The leader's write is held while another node takes over."""
+
+    async def tell(world: World) -> None:
+        sweep = job(1, pieces=2)
+        await world.submit(sweep)
+        await world.until(lambda: world.running(sweep) == 2, 40)
+        old = world.leader()
+        world.cut(NODES[old], "state", "hold")
+        await world.until(lambda: world.state.job_state("run-000001") == "done", 60)
+        revision = world.state.keys["j/job/run-000001"][1]
+        await world.heal()
+        await trio.sleep(2)
+        assert world.state.keys["j/job/run-000001"][1] == revision
+
+    story(tell)
+
+
+def test_a_gang_starts_together_and_restarts_after_a_loss() -> None:
+    async def tell(world: World) -> None:
+        gang = job(1, shape="group", pieces=3, cores=4.0, one_zone=True, expected_s=30.0)
+        await world.submit(gang)
+        await world.until(lambda: world.running(gang) == 3, 60)
+        attempts = {t.attempt for w in world.workers for t in w.tasks.values() if t.job is gang}
+        assert len(attempts) == 1
+        await world.until(lambda: world.state.job_state("run-000001") == "done", 60)
+
+    story(tell)
+
+
+def test_machines_that_never_come_up_are_given_back() -> None:
+    async def tell(world: World) -> None:
+        world.cloud.never_up = 1
+        one = job(1)
+        await world.submit(one)
+        await world.until(lambda: world.state.job_state("run-000001") == "done", 120)
+        await world.until(lambda: not any(w.broken and not w.gone for w in world.workers), 90)
+
+    story(tell)
+
+
+def test_unexpected_machines_are_used_and_idle_ones_returned() -> None:
+    async def tell(world: World) -> None:
+        stray = world.cloud.create("b")
+        await trio.sleep(7)
+        one = job(1)
+        await world.submit(one)
+        await world.until(lambda: world.state.job_state("run-000001") == "done", 60)
+        assert stray in world.workers and world.observer.starts["run-000001"] == 2
+        await world.until(lambda: stray.gone, 120)
+
+    story(tell)
+
+
+def test_a_cloud_outage_leaves_running_work_alone() -> None:
+    async def tell(world: World) -> None:
+        board = job(1, shape="daemon")
+        await world.submit(board)
+        await world.until(lambda: world.running(board) == 2, 40)
+        world.cloud.out = True
+        await trio.sleep(30)
+        world.cloud.out = False
+        await trio.sleep(5)
+        assert world.observer.starts["run-000001"] == 2
+
+    story(tell)
+
+
+def test_operators_settings_are_checked_versioned_and_kept() -> None:
+    async def tell(world: World) -> None:
+        async def put(body: object) -> tuple[int, dict[str, object]]:
+            return await world.send("operator", "10.0.0.1:2", "PUT", "/admin/settings", body, 2.0)
+
+        _, now = await world.send("operator", "10.0.0.0:2", "GET", "/admin/settings", None, 2.0)
+        version = now["version"]
+        for name, knob in now["settings"].items():
+            for bad in (knob["low"] - 1, knob["high"] + 1, "x", None, True):
+                status, answer = await put({"version": version, "settings": {name: bad}})
+                assert (status, answer["field"]) == (400, name)
+        assert (await put({"version": version, "settings": {"no_such": 1}}))[0] == 400
+        assert (await put({"settings": {}}))[0] == 400
+        assert (await put({"version": version + 5, "settings": {"idle_s": 50}}))[0] == 409
+        assert (await put({"version": version, "settings": {"idle_s": 50}}))[0] == 200
+        leader = world.nodes[world.leader()].leader
+        await world.until(lambda: leader is not None and leader.planner.tuning["idle_s"] == 50.0, 3)
+        world.state.out = True
+        await trio.sleep(2)
+        assert (await put({"version": version, "settings": {"idle_s": 60}}))[0] == 503
+        assert (await world.send("operator", "10.0.0.0:1", "GET", "/admin/settings", None, 2.0))[0] == 404
+
+    story(tell)
