--- a/pepperlatch/cluster.py
+++ b/pepperlatch/cluster.py
@@ -251,7 +251,7 @@
         self._register(attempt)
         if parts[1] in job.waiting:
             job.waiting.remove(parts[1])
-        if spec is not None or parts[1] in job.done:
+        if job.over or parts[1] in job.done:  # every task of it, not only the first one that shows up
             self.stop(attempt, 0.0)
         return attempt
 
--- a/pepperlatch/draining.py
+++ b/pepperlatch/draining.py
@@ -23,16 +23,24 @@
     return sorted(low, key=lambda m: (m.used_share(), m.name))
 
 
-def movable(machine: Machine, now: float, age_s: float) -> bool:
-    """Its tasks all run, are young and alone; a replica moves only while another one runs."""
+def movable(machine: Machine, now: float, age_s: float, lost_s: float) -> bool:
+    """Its tasks all run, are young, lose little and are no gang's; a replica moves only while another one runs."""
     return all(
         a.phase is Phase.THERE and a.wanted and a.state is TaskState.RUNNING
         and a.running_at is not None and now - a.running_at < age_s and a.job.spec.kind is not Kind.GANG
-        and (a.job.spec.kind is not Kind.SERVICE or _other_runs(a))
+        and (_other_runs(a) if a.job.spec.kind is Kind.SERVICE else unsaved_s(a, now) <= lost_s)
         for a in machine.attempts.values()
     )  # fmt: skip
 
 
+def unsaved_s(attempt: Attempt, now: float) -> float:
+    """Run time that stopping the task throws away; a replica loses none."""
+    spec = attempt.job.spec
+    if attempt.running_at is None or attempt.state is not TaskState.RUNNING or spec.kind is Kind.SERVICE:
+        return 0.0
+    return spec.save_s if spec.checkpoint_s > 0 else now - attempt.running_at
+
+
 def _other_runs(attempt: Attempt) -> bool:
     return any(a.state is TaskState.RUNNING and a is not attempt and a.wanted for a in attempt.job.live.values())
 
@@ -70,12 +78,12 @@
 
 
 def choose(
-    machines: list[Machine], threshold: float, age_s: float, now: float, needed: Callable[[Machine], bool]
+    machines: list[Machine], threshold: float, age_s: float, lost_s: float, now: float, needed: Callable[[Machine], bool]
 ) -> Drain | None:
     """At most one drain a round: the first underused machine that nobody waits for and that empties whole."""
     busy = [m for m in machines if m.attempts]
     for machine in underused(machines, threshold):
-        if needed(machine) or not movable(machine, now, age_s):
+        if needed(machine) or not movable(machine, now, age_s, lost_s):
             continue
         moves = destinations(machine, busy)
         if moves is not None:
--- a/pepperlatch/leader.py
+++ b/pepperlatch/leader.py
@@ -146,7 +146,9 @@
         chunks = self._replica.done.get(job_id, {})
         done = {task for chunk, (bits, _) in chunks.items() for task in store.done_tasks(bits, chunk)}
         submitted = self._clock() - max(0.0, self._wall() - entry.record.at)
-        self.cluster.add_job(entry.record.spec, entry.version, submitted, done)
+        spec = entry.record.spec
+        self.cluster.add_job(spec, entry.version, submitted, done)
+        log.info("job %s: %s %s of %d", job_id, spec.priority.name.lower(), spec.kind.name.lower(), spec.tasks)
 
     def on_jobs(self, touched: set[str]) -> None:
         """The watch has shown changes of these jobs."""
--- a/pepperlatch/placement.py
+++ b/pepperlatch/placement.py
@@ -33,12 +33,12 @@
 
 
 def rank(machine: Machine, job: Job, used: Counter[str]) -> tuple[float, ...]:
-    """Smaller is better. Replicas go apart from their siblings first: one loss must cost least."""
+    """Smaller is better. Replicas go apart from their siblings where the image is: one loss must cost least."""
     spec = job.spec
     image = 0 if machine.holds_image(spec) else 1 if machine.fetches_image(spec) else 2
     kind = 0 if machine.spot == spec.spot else 1
     apart = used[machine.name] if spec.kind is Kind.SERVICE else 0
-    return (apart, is_slow(machine), image, kind, machine.free_cpus, machine.born)
+    return (is_slow(machine), image, apart, kind, machine.free_cpus, machine.born)
 
 
 def is_slow(machine: Machine) -> bool:
--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -4,12 +4,13 @@
 from dataclasses import dataclass, field
 
 from pepperlatch import constants as c
-from pepperlatch import draining, fleet, placement, quota
+from pepperlatch import draining, fleet, placement, quota, supply
 from pepperlatch.cluster import Cluster
 from pepperlatch.fleet import Bin, Need, Offer
 from pepperlatch.model import Attempt, Job, Machine, Phase, Status, allowed_on
+from pepperlatch.supply import Spare
 from pepperlatch.tuning import Tuning
-from pepperlatch.wire import RANK, Kind, TaskState
+from pepperlatch.wire import RANK, Kind
 
 
 @dataclass(slots=True)
@@ -23,6 +24,7 @@
     drains_done: int = 0
     drains_cancelled: int = 0
     needs: list[Need] = field(default_factory=list)
+    spare: Spare = field(default_factory=Spare)
 
     # --- placing ----------------------------------------------------------------------------------
 
@@ -53,6 +55,7 @@
         cluster.count_hidden()
         rebuilding = cluster.rebuilding()
         machines = self.usable(now)
+        self.spare.count(machines, (j.spec for j in cluster.jobs.values() if not j.over), int(self.tuning["spare_slots"]))
         self.needs = []
         for job in self.ordered(now):
             if rebuilding and job.old:
@@ -74,9 +77,10 @@
             zones = [best] if best else []
         while job.waiting and room > 0:
             machine = self._preferred(job, machines, zones) or placement.choose(job, machines, zones)
-            if machine is None:
+            if machine is None or not self.spare.allows(job.spec, machine):
                 break
             cluster.place(job, job.waiting.popleft(), machine, now)
+            self.spare.took(machine)
             room -= 1
         if job.waiting:
             self._unplaced(job, min(room, len(job.waiting)), now)
@@ -190,6 +194,7 @@
         needs = [Need(n.job, n.count, dict(n.spread)) for n in self.needs]
         for room in self.booting_bins(now):
             room.fill(needs)
+        self._count_on_finishing(needs, now)
         for need in self.needs:
             need.job.explain("machines are booting", now)
         blocked = {offer for offer, until in self.blocked.items() if until > now}
@@ -199,6 +204,18 @@
                 need.job.explain("no capacity in the allowed zones", now)
         return chosen
 
+    def _count_on_finishing(self, needs: list[Need], now: float) -> None:
+        """What running tasks will free soon enough needs no new machine."""
+        places = [
+            supply.Place(a.machine, a.job.spec, supply.remaining_s(a, now))
+            for m in self.usable(now) for a in m.attempts.values() if a.job.spec.kind is Kind.ARRAY and a.wanted
+        ]  # fmt: skip
+        boot_s = min((kind.boot_s for kind in self.cluster.types.values()), default=0.0)
+        for need in needs:
+            if need.job.spec.kind is Kind.ARRAY and need.count > 0:
+                patience = max(boot_s, supply.slack_s(need.job, self.cluster.params.objectives, now) - boot_s)
+                supply.absorb(need, places, patience)
+
     def refused(self, offer: Offer, now: float) -> None:
         pause = min(c.NO_CAPACITY_PAUSE_MOST_S, max(c.NO_CAPACITY_PAUSE_S, self.pauses.get(offer, 0.0) * 2))
         self.pauses[offer] = pause
@@ -228,7 +245,8 @@
             return
         self.drained_at = now
         machines = self.usable(now)
-        choice = draining.choose(machines, self.tuning["drain_threshold"], self.tuning["drain_age_s"], now, self._needed)
+        knobs = self.tuning
+        choice = draining.choose(machines, knobs["drain_threshold"], knobs["drain_age_s"], knobs["drain_lost_s"], now, self._needed)
         if choice is None:
             return
         self.drains_done += 1
@@ -263,9 +281,4 @@
 
 def lost_work(attempt: Attempt, now: float) -> float:
     """CPU seconds that stopping the task throws away."""
-    if attempt.running_at is None or attempt.state is not TaskState.RUNNING:
-        return 0.0
-    ran = now - attempt.running_at
-    if attempt.job.spec.checkpoint_s > 0:
-        ran = min(ran, attempt.job.spec.save_s)
-    return ran * (attempt.job.spec.cpus + attempt.job.spec.gpus)
+    return draining.unsaved_s(attempt, now) * (attempt.job.spec.cpus + attempt.job.spec.gpus)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -76,6 +76,22 @@
     story(tell)
 
 
+def test_a_job_cancelled_while_nobody_leads_goes_from_all_its_machines() -> None:
+    """Seen: the next leader stopped the first task that was reported and adopted the others."""
+
+    async def tell(world: World) -> None:
+        board = job(1, shape="daemon", pieces=6, cores=4.0)
+        await world.submit(board)
+        await world.until(lambda: world.running(board) == 6, 40)
+        assert len(world.hosts(board)) >= 3
+        world.kill(world.leader())
+        await trio.sleep(0.5)
+        assert (await world.ask(min(world.nodes), "POST", "/work/run-000001/cancel"))[0] == 200
+        await world.until(lambda: world.running(board) == 0, 10)
+
+    story(tell)
+
+
 def test_the_leader_dies_right_after_each_kind_of_step() -> None:
     """Accepting, hiring, recording, launching, finishing: killed when the answer is about to come."""
     for path in ("/hosts", "/commands", "/txn"):
