--- a/pepperlatch/cluster.py
+++ b/pepperlatch/cluster.py
@@ -19,6 +19,7 @@
 
 log = logging.getLogger(__name__)
 Key = tuple[str, int]
+SILENT = "silent"
 SpecOf = Callable[[str], JobSpec | None]
 
 
@@ -49,6 +50,7 @@
         self.unsaved: set[str] = set()
         self.to_record: set[Machine] = set()
         self.to_release: set[str] = set()
+        self.releasing: set[str] = set()  # asked for; the cloud may carry that out at any time
         self.dirty = True
         self.higher_token = False
         self._next = 0
@@ -111,7 +113,7 @@
             attempt.kill_grace = grace_s
             attempt.kill_sent = -1.0
         if attempt.phase is Phase.PLANNED:
-            self._remove(attempt, 0.0)
+            self._remove(attempt, attempt.planned_at)
             self._requeue(attempt)
         self.touched.add(attempt.machine)
 
@@ -170,6 +172,10 @@
         if report.notice_s is not None and machine.notice_at is None:
             machine.notice_at = now + report.notice_s
             self.dirty = True
+        if machine.leaves_silent and machine.name not in self.releasing:
+            log.info("%s is heard of again", machine.name)
+            machine.status, machine.leaves_silent = Status.UP, False
+            self.to_release.discard(machine.name)
         self._account(machine, report, now)
         self._tasks(machine, report, now, beat)
         return machine
@@ -335,6 +341,7 @@
         self.gone[name] = None
         self.unaccounted.discard(name)
         self.to_release.discard(name)
+        self.releasing.discard(name)
         if machine is not None:
             self._all_gone(machine, now)
             self.touched.discard(machine)
@@ -345,6 +352,7 @@
         if machine.status is not Status.LEAVING:
             log.info("return %s: %s", machine.name, why)
             machine.status = Status.LEAVING
+            machine.leaves_silent = why == SILENT
             self.to_record.discard(machine)
             self.to_release.add(machine.name)
 
--- a/pepperlatch/leader.py
+++ b/pepperlatch/leader.py
@@ -10,7 +10,7 @@
 from pepperlatch import constants as c
 from pepperlatch import fleet, store, wire
 from pepperlatch.cloud import CloudClient, CloudTrouble, NoCapacity
-from pepperlatch.cluster import Cluster
+from pepperlatch.cluster import SILENT, Cluster
 from pepperlatch.fleet import Offer
 from pepperlatch.http.client import Lost, NotSent
 from pepperlatch.leadership import Term
@@ -58,7 +58,6 @@
         self._persist_at = 0.0
         self._rented_at = 0.0
         self._housekeep_at = 0.0
-        self._releasing: set[str] = set()
         self.nursery: trio.Nursery | None = None
 
     # --- life -------------------------------------------------------------------------------------
@@ -106,7 +105,9 @@
     def _load_machine(self, name: str, record: store.MachineRecord, now: float) -> None:
         kind = self.cluster.types.get(record.type)
         if kind is None:
-            log.error("machine %s is of unknown type %s", name, record.type)
+            log.error("machine %s is of unknown type %s: returned", name, record.type)
+            self.cluster.unaccounted.add(name)  # it may run tasks until it is gone
+            self.cluster.to_release.add(name)
             return
         machine = Machine(name, kind, record.zone, record.spot, record.addr, Status.UP, now, draining=record.draining)
         machine.up_at = machine.idle_since = now
@@ -473,6 +474,7 @@
             names = sorted(self.cluster.to_release)[: c.RELEASE_MOST]
             if not names or not self.term.sure(self._clock()):
                 continue
+            self.cluster.releasing.update(names)
             try:
                 await self._cloud.release(names)
                 self._owner.post(lambda x=names: self._released(x))  # type: ignore[misc]
@@ -506,7 +508,7 @@
             if overdue:
                 cluster.release(machine, "never came up")
             elif machine.status is Status.UP and sure and self._given_up(machine, many, now):
-                cluster.release(machine, "silent")
+                cluster.release(machine, SILENT)
             if any(not a.wanted for a in machine.attempts.values()):
                 cluster.touched.add(machine)
         if sure and not cluster.rebuilding():
--- a/pepperlatch/model.py
+++ b/pepperlatch/model.py
@@ -99,6 +99,7 @@
     up_at: float | None = None
     idle_since: float | None = None
     notice_at: float | None = None  # when the cloud takes it
+    leaves_silent: bool = False  # returned only because it was not heard of
     draining: str | None = None
     quarantined: bool = False
     failed_tasks: set[str] = field(default_factory=set)
--- /dev/null
+++ b/tests/test_edges.py
@@ -0,0 +1,250 @@
+"""Edges: malformed HTTP and settings, the command line, and the policies as pure functions."""
+
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+import trio.testing
+
+from pepperlatch import cli, client, draining, fleet, quota, store, wire
+from pepperlatch.budget import Budget
+from pepperlatch.http.server import Request, Response, Server
+from pepperlatch.leadership import hold_seconds
+from pepperlatch.model import Attempt, Job, Machine, Phase, Status
+from pepperlatch.settings import Objective, SettingsError, Team, parse
+from pepperlatch.supply import Place, Spare, absorb, slack_s
+from tests.fakes import World, job, settings_of, story
+
+TYPE = wire.convert(
+    {"sku": "m8", "cores": 8.0, "gpus": 0.0, "memory_gb": 32.0, "cache_gb": 20.0, "pull_gb_per_s": 1.0, "rate": 1.0,
+     "market_price": 0.3, "ready_s": 5.0, "yards": ["a", "b"]}, wire.MachineType
+)  # fmt: skip
+
+
+def spec_of(number: int, **changes: Any) -> wire.JobSpec:
+    spec: wire.JobSpec = wire.convert(job(number, **changes), wire.JobSpec)
+    return spec
+
+
+def machine(name: str, zone: str = "a", spot: bool = False) -> Machine:
+    return Machine(name, TYPE, zone, spot, "", Status.UP, 0.0, seen_at=0.0)
+
+
+def run_on(where: Machine, one: Job, task: int, since: float = 0.0) -> Attempt:
+    attempt = Attempt(one, task, task + 1, where, since, Phase.THERE, wire.TaskState.RUNNING, since)
+    where.attempts[(attempt.name, attempt.number)] = one.live[task] = attempt
+    where.take(one.spec)
+    return attempt
+
+
+def new_job(number: int, **changes: Any) -> Job:
+    return Job(spec_of(number, **changes), number, 0.0, False)
+
+
+# --- HTTP -----------------------------------------------------------------------------------------
+
+
+def exchange(sent: bytes, wait_s: float = 0.0) -> bytes:
+    """What a server answers to these bytes before it closes, or within 200 s."""
+
+    async def handler(request: Request) -> Response:
+        if request.path == "/crash":
+            raise RuntimeError("a fault of ours")
+        return Response(200, {"bytes": len(request.body)})
+
+    async def main() -> bytes:
+        ours, theirs = trio.testing.memory_stream_pair()
+        got = b""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(Server(handler, 10)._connection, theirs)
+            await ours.send_all(sent)
+            with trio.move_on_after(200):
+                while chunk := await ours.receive_some(65536):
+                    got += chunk
+            nursery.cancel_scope.cancel()
+        return got
+
+    return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_http_is_answered_at_once_or_closed_at_a_deadline() -> None:
+    assert exchange(b"nonsense\r\n\r\n").startswith(b"HTTP/1.1 400")
+    big = b"POST /work HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000
+    assert exchange(big).startswith(b"HTTP/1.1 400")
+    assert exchange(b"POST /work HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc") == b""
+    assert exchange(b"GET /crash HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").startswith(b"HTTP/1.1 500")
+    two = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi" * 2
+    assert exchange(two).count(b"HTTP/1.1 200") == 2
+
+
+def test_malformed_jobs_never_crash_a_node() -> None:
+    async def tell(world: World) -> None:
+        bodies: list[Any] = [b"", b"[]", b"null", b"{", b'{"name_id": 5}', b'{"name_id": "run-1", "cores": NaN}', b"\xff\xfe"]
+        bodies += [job(1, cores=1e999), job(1, pieces=0), job(1, pieces="2"), job(1, name_id="run-a/b"), job(1, name_id="x" * 300)]
+        bodies += [{k: v for k, v in job(1).items() if k != name} for name in ("crew", "cores", "shape", "loaners", "bundle")]
+        for body in bodies:
+            raw = body if isinstance(body, bytes) else None
+            response = await world.nodes[0].handle(Request("POST", "/work", raw)) if raw is not None else None
+            status = response.status if response else (await world.ask(0, "POST", "/work", body))[0]
+            assert status == 400, body
+        optional = {k: v for k, v in job(2).items() if k not in ("builds", "yard", "due_s")}
+        assert (await world.submit(optional))[0] == 201
+        for path in ("/work/", "/work/a/b/c", "/work/run-1/cancel/x", "/nothing"):
+            assert (await world.ask(0, "GET", path))[0] == 404
+
+    story(tell)
+
+
+# --- settings and command line --------------------------------------------------------------------
+
+
+def test_a_wrong_setting_ends_the_program_with_a_line_that_names_it(tmp_path: Path) -> None:
+    good = 'node_name="n"\nzone="a"\nbind="1.1.1.1:1"\npeer_listen="1.1.1.1:2"\nunknown=1\n'
+    with pytest.raises(SettingsError, match="params"):
+        parse(good + '[outside]\ncloud="1.1.1.1:3"\nstate="1.1.1.1:4"\n')
+    with pytest.raises(SettingsError, match="bind"):
+        parse(good.replace("bind", "bond"))
+    file = tmp_path / "node.toml"
+    file.write_text("node_name = 3", "utf-8")
+    done = subprocess.run([sys.executable, "run.py", "--config", str(file)], capture_output=True, text=True, cwd=Path(__file__).parent.parent)
+    assert done.returncode == 2
+    assert done.stderr.count("\n") == 1 and "node_name" in done.stderr
+
+
+def test_the_command_line_explains_itself(capsys: pytest.CaptureFixture[str]) -> None:
+    with pytest.raises(SystemExit) as ended:
+        cli.main(["--help"])
+    assert ended.value.code == 0 and "submit" in capsys.readouterr().out
+    assert cli.main(["submit", "--node", "127.0.0.1:1", "/no/such/file"]) == 2
+    assert client._changes(["version=3", "idle_s=20"]) == {"version": 3, "settings": {"idle_s": 20.0}}
+    with pytest.raises(ValueError, match="version"):
+        client._changes(["idle_s=20"])
+
+
+# --- the design's drain ---------------------------------------------------------------------------
+
+
+def drained(machines: list[Machine], now: float = 5.0, needed: bool = False, age_s: float = 600.0) -> draining.Drain | None:
+    return draining.choose(machines, 0.30, age_s, 8.0, now, lambda m: needed)
+
+
+def test_the_least_used_machine_is_drained_onto_the_fullest_busy_one_in_its_zone() -> None:
+    low, full, fuller, far = machine("low"), machine("full"), machine("fuller"), machine("far", "b")
+    one = new_job(1, cores=2.0, pieces=20)
+    move = run_on(low, one, 0)
+    for n, (where, count) in enumerate(((full, 2), (fuller, 3), (far, 3))):
+        for i in range(count):
+            run_on(where, one, 1 + 4 * n + i)
+    choice = drained([low, full, fuller, far, machine("idle")])
+    assert choice is not None and choice.machine is low
+    assert choice.moves == [(move, fuller)]
+
+
+def test_one_task_without_a_destination_cancels_the_drain() -> None:
+    low, other = machine("low"), machine("other")
+    run_on(low, new_job(1, cores=2.0, memory_gb=20.0), 0)
+    run_on(other, new_job(2, cores=6.0, memory_gb=20.0), 0)
+    assert drained([low, other]) is None
+
+
+def test_what_is_needed_old_a_gang_or_the_last_replica_is_not_drained() -> None:
+    def world(**changes: Any) -> list[Machine]:
+        low, other = machine("low"), machine("other")
+        run_on(low, new_job(1, cores=2.0, **changes), 0)
+        run_on(other, new_job(2, cores=4.0), 0)
+        return [low, other]
+
+    assert drained(world()) is not None
+    assert drained(world(), needed=True) is None
+    assert drained(world(), now=5.0, age_s=4.0) is None
+    assert drained(world(), now=20.0) is None, "20 s of work would be lost"
+    assert drained(world(shape="group")) is None
+    assert drained(world(shape="daemon")) is None
+
+
+def test_a_replica_moves_within_its_zone_only() -> None:
+    low, far, near = machine("low"), machine("far", "b"), machine("near")
+    board = new_job(1, shape="daemon", cores=2.0)
+    run_on(low, board, 0)
+    run_on(far, board, 1)
+    run_on(far, new_job(2, cores=2.0), 0)
+    assert drained([low, far], now=100.0) is None
+    run_on(near, new_job(3, cores=4.0), 0, since=99.0)
+    choice = drained([low, far, near], now=100.0)
+    assert choice is not None and choice.moves[0][1] is near
+
+
+# --- other policies -------------------------------------------------------------------------------
+
+
+def test_jobs_within_a_guarantee_are_counted_in_order_of_arrival() -> None:
+    teams = {"red": Team("red", 8.0, 16.0)}
+    jobs = [new_job(1, pieces=2, cores=2.0), new_job(2, pieces=4, cores=2.0), new_job(3, pieces=1, cores=0.5)]
+    assert quota.within_guarantee(jobs, teams) == {"run-000001"}
+    room = quota.Quota(teams)
+    room.of("red").add(jobs[0].spec, 7)
+    assert room.room(jobs[1].spec) == 1
+    room.hidden = {"red": quota.Use(2.0, 0.0)}
+    assert room.room(jobs[1].spec) == 0
+
+
+def test_renting_counts_turns_zones_and_price() -> None:
+    patient = fleet.Need(new_job(1, pieces=16, cores=4.0, loaners=True), 16, turns=4)
+    assert fleet.choose([patient], [TYPE], set(), 50) == [fleet.Offer("m8", "a", True), fleet.Offer("m8", "a", True)]
+    spread = fleet.Need(new_job(2, pieces=2, cores=2.0, apart=True), 2)
+    assert {offer.zone for offer in fleet.choose([spread], [TYPE], set(), 50)} == {"a", "b"}
+    blocked = {fleet.Offer("m8", zone, spot) for zone in "ab" for spot in (True, False)}
+    assert fleet.choose([fleet.Need(new_job(3), 2)], [TYPE], blocked, 50) == []
+
+
+def test_finishing_tasks_leave_room_for_what_can_wait() -> None:
+    one = new_job(1, cores=2.0, pieces=9, expected_s=10.0)
+    places = [Place(machine("m"), one.spec, free_in_s) for free_in_s in (5.0, 50.0)]
+    need = fleet.Need(one, 4)
+    absorb(need, places, 26.0)
+    assert need.count == 1, "three turns of 10 s in the first place, the second comes too late"
+    aims = [Objective("wait", "x", 100.0), Objective("finished", "x", 60.0), Objective("wait", "other", 1.0)]
+    assert 0 < slack_s(one, aims, 20.0) < 40.0
+
+
+def test_room_for_replicas_is_not_for_others() -> None:
+    home, one = machine("home"), spec_of(1, shape="daemon", cores=4.0, pieces=1, bundle="web")
+    spare = Spare()
+    spare.count([home], [one], 1.0)
+    sweep = spec_of(2, cores=4.0)
+    assert spare.allows(sweep, home) and spare.allows(one, home)
+    home.take(sweep)
+    spare.took(home)
+    assert not spare.allows(sweep, home) and spare.allows(one, home)
+    assert spare.needs(home) and not spare.short()
+
+
+def test_bitmaps_hold_what_is_done_within_a_value() -> None:
+    tasks = {0, 7, 8, 32767, 32768, 99_999}
+    chunks = {n: store.bitmap(tasks, n) for n in range(4)}
+    assert max(len(chunk["bits"]) for chunk in chunks.values()) < 8 * 1024
+    replica = store.Replica()
+    events = [wire.Change(5, put=store.done_key("run-1", n), value=chunk) for n, chunk in chunks.items()]
+    replica.apply(wire.Changes(5, events))
+    assert set().union(*(store.done_tasks(bits, n) for n, (bits, _) in replica.done["run-1"].items())) == tasks
+
+
+def test_an_older_change_never_undoes_a_newer_one() -> None:
+    replica = store.Replica()
+    key = store.JOB + "run-1"
+    replica.reload(3, [wire.KeyValue(key, {"state": "done"}, 9)])
+    replica.apply(wire.Changes(10, [wire.Change(4, put=key, value={"state": "queued"})]))
+    assert replica.jobs["run-1"].state is wire.JobState.DONE
+
+
+def test_budgets_and_bounds() -> None:
+    budget = Budget(10.0)
+    assert budget.wait_for(1.0) == 0.0
+    waits = [budget.wait_for(1.0) for _ in range(20)]
+    assert waits[0] == 0.0 and 0.9 < waits[-1] < 1.2
+    assert budget.wait_for(1.0, urgent=True) == 0.0
+    params = settings_of(0).params.workers
+    assert hold_seconds(params.cancel_s, params.lease_s) + params.lease_s < params.cancel_s - 0.9
