--- a/pepperlatch/client.py
+++ b/pepperlatch/client.py
@@ -10,10 +10,9 @@
 import trio
 
 from pepperlatch import admin, wire
+from pepperlatch import constants as c
 from pepperlatch.http.client import HttpNetwork, Lost, NotSent
 
-DEADLINE_S = 5.0  # s; how long the protocol lets a user wait
-GIVE_UP_S = 60.0  # s; how long the protocol lets a user repeat a request
 OK, REFUSED, UNREACHABLE = 0, 1, 3
 
 
@@ -58,13 +57,13 @@
 async def _patiently(node: str, method: str, path: str, body: Any) -> tuple[int, Any]:
     """Repeats what may be repeated, as long as the protocol's users do."""
     network = HttpNetwork(4)
-    until = time.monotonic() + GIVE_UP_S
+    until = time.monotonic() + c.USER_GIVES_UP_S
     while True:
         try:
-            status, answer = await network.request(node, method, path, body, DEADLINE_S)
+            status, answer = await network.request(node, method, path, body, c.USER_WAITS_S)
             if status not in (429, 503, 504) or time.monotonic() > until:
                 return status, answer
         except (NotSent, Lost):
             if time.monotonic() > until:
                 raise
-        await trio.sleep(1.0)
+        await trio.sleep(c.USER_PAUSE_S)
--- a/pepperlatch/constants.py
+++ b/pepperlatch/constants.py
@@ -16,6 +16,10 @@
 CONNECT_S: Final = 1.0  # s; three round trips of the slowest link, one lost packet included
 SOCKET_SHARE_SERVER: Final = 0.7  # share of the socket limit that accepted connections may hold
 
+USER_WAITS_S: Final = 5.0  # s; how long the protocol lets a user wait; the command line does the same
+USER_GIVES_UP_S: Final = 60.0  # s; how long the protocol lets a user repeat a request
+USER_PAUSE_S: Final = 1.0  # s; least pause before a user repeats a request
+
 # --- state service --------------------------------------------------------------------------------
 STATE_REQUEST_S: Final = 1.5  # s; answers take under 10 ms, now and then a few hundred
 STATE_SHARE_LEADER: Final = 0.45  # share of the budget; the leader writes results besides submissions
--- a/pepperlatch/daemon.py
+++ b/pepperlatch/daemon.py
@@ -393,9 +393,12 @@
         ]  # fmt: skip
         answer["drains"] = {"begun": planner.drains_begun, "cancelled": planner.drains_cancelled}
         answer["teams"] = [
-            {"name": t.name, "cpus": cluster.quota.of(t.name).cpus, "guaranteed": t.cpus, "limit": t.cpus_max}
+            {
+                "name": t.name, "cpus": cluster.quota.of(t.name).cpus, "cpus_guaranteed": t.cpus, "cpus_limit": t.cpus_max,
+                "gpus": cluster.quota.of(t.name).gpus, "gpus_guaranteed": t.gpus, "gpus_limit": t.gpus_max,
+            }
             for t in self.settings.params.teams
-        ]
+        ]  # fmt: skip
         return answer
 
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -514,6 +514,25 @@
     story(tell)
 
 
+def test_operators_and_users_see_what_is_going_on() -> None:
+    async def tell(world: World) -> None:
+        board, late = job(1, shape="daemon", pieces=4, cores=8.0), job(2, cores=2.0)
+        await world.submit(board)
+        await world.until(lambda: world.running(board) == 4, 40)
+        await world.submit(late)
+        await trio.sleep(3)
+        follower = (world.leader() + 1) % 3
+        _, told = await world.ask(follower, "GET", "/work/run-000002")
+        assert told["reason"] == "team limit" and told["reason_for_s"] >= 2
+        _, view = await world.send("operator", f"10.0.0.{world.leader()}:2", "GET", "/admin/view", None, 2.0)
+        assert view["leader"] == NODES[world.leader()] and view["token"] > 0
+        assert sum(m["tasks"] for m in view["machines"] if m["status"] == "up") == 4
+        red = next(team for team in view["teams"] if team["name"] == "red")
+        assert (red["cpus"], red["cpus_guaranteed"], red["cpus_limit"]) == (32.0, 16.0, 32.0)
+
+    story(tell)
+
+
 def test_operators_settings_are_checked_versioned_and_kept() -> None:
     async def tell(world: World) -> None:
         async def put(body: object) -> tuple[int, dict[str, object]]:
