Planning follows what changed: candidates in a heap, spare room and fencing bounded

Now candidates of a job stand in a heap and are looked at again only when they come first, spare room is counted as it changes, victims are found once a job, offers are scored without copying needs, a long round is followed by a rest, leases are looked through twice a second, and at most 48 machines are fenced at once with one request instead of two.

--- a/pepperlatch/constants.py
+++ b/pepperlatch/constants.py
@@ -47,6 +47,8 @@
 HANDOVER_REPORTS: Final = 1.5  # report intervals without a word from anyone before a leader hands over
 HANDOVER_PAUSE_S: Final = 15.0  # s; others lead meanwhile, or it tries again
 FENCE_TRY_S: Final = 1.0  # s; deadline of one try to fence a machine
+FENCE_AT_ONCE: Final = 48  # machines; a tenth of a second of work on a third of a core, and far below any socket limit
+PLAN_LONG_S: Final = 0.1  # s; a longer round is logged: it keeps reports and polls waiting
 FENCE_PAUSE_S: Final = 0.4  # s; between two tries to fence the same machine
 
 # --- workers --------------------------------------------------------------------------------------
@@ -83,6 +85,14 @@
 TICK_S: Final = 0.5  # s; housekeeping when nothing else happens
 PERSIST_GAP_S: Final = 0.4  # s; finished tasks of unfinished jobs are written together
 MIN_CHARGE_S: Final = 60.0  # s; the cloud charges at least this
+CHARGE_SLACK_S: Final = 5.0  # s; a return begun so much before the least charge is over arrives about then
+BOOT_WORTH_S: Final = 60.0  # s; a type that boots so much longer is worth half as much to urgent work
+BOOT_SPREAD: Final = 1.6  # times the usual boot time that a machine being booted is counted on
+BOOT_SLACK_S: Final = 5.0  # s; on top of that, for its first report and its record
+FRESH_REPORTS: Final = 2.2  # report intervals since its last report in which a machine gets new tasks
+EPS: Final = 1e-6  # CPUs or GB; sums of decimal amounts are compared with this allowance
+PLAN_GAP_S: Final = 0.05  # s; changes that come together are planned for together
+PLAN_REST: Final = 3.0  # times its own length that a round is followed by other work: reports go before planning
 ERROR_WINDOW_S: Final = 60.0  # s; errors further apart say nothing about a machine
 ERROR_TASKS: Final = 2  # different tasks failed in a row before a machine is taken to be faulty
 JOB_ERROR_MACHINES: Final = 3  # machines a job must fail on before the job is taken to be at fault
--- a/pepperlatch/draining.py
+++ b/pepperlatch/draining.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from pepperlatch.model import Attempt, Machine, Phase, allowed_on
+from pepperlatch.model import EPS, Attempt, Machine, Phase, allowed_on
 from pepperlatch.placement import zone_bound
 from pepperlatch.wire import Kind, TaskState
 
@@ -65,7 +65,7 @@
     needs = (spec.cpus, spec.gpus, spec.memory_gb)
     fitting = [
         m for m, free in room.items()
-        if all(f >= n - 1e-6 for f, n in zip(free, needs, strict=True)) and allowed_on(spec, m.type.name, m.zone, m.spot)
+        if all(f >= n - EPS for f, n in zip(free, needs, strict=True)) and allowed_on(spec, m.type.name, m.zone, m.spot)
     ]  # fmt: skip
     if spec.kind is Kind.SERVICE:  # it would be away while the image is fetched
         fitting = [m for m in fitting if m.holds_image(spec)]
--- a/pepperlatch/fleet.py
+++ b/pepperlatch/fleet.py
@@ -39,23 +39,41 @@
         pairs = ((spec.cpus, self.cpus), (spec.gpus, self.gpus), (spec.memory_gb, self.memory_gb))
         return max(0, min((int((free + EPS) // need) for need, free in pairs if need > 0), default=spec.tasks))
 
-    def fill(self, needs: Iterable[Need]) -> float:
-        """Put as many needed tasks as possible here; the CPUs they take."""
+    def full(self) -> bool:
+        return self.cpus < EPS or self.memory_gb < EPS
+
+    def take(self, need: Need) -> tuple[int, int]:
+        """Use room for as many of the needed tasks as possible: their count, and how many at once."""
+        spec = need.job.spec
+        if need.count <= 0 or (need.spot_only and not self.offer.spot) or not allowed_on(spec, self.offer.type, self.offer.zone, self.offer.spot):
+            return 0, 0
+        count = min(need.count, self.slots(spec) * need.turns, zone_room(need, self.offer.zone))
+        if count <= 0:
+            return 0, 0
+        places = -(-count // need.turns)
+        self.cpus -= places * spec.cpus
+        self.gpus -= places * spec.gpus
+        self.memory_gb -= places * spec.memory_gb
+        return count, places
+
+    def fill(self, needs: Iterable[Need]) -> None:
+        """Put as many needed tasks as possible here."""
+        for need in needs:
+            if self.full():
+                return
+            count, _ = self.take(need)
+            if count:
+                need.count -= count
+                need.spread[self.offer.zone] = need.spread.get(self.offer.zone, 0) + count
+
+    def would_take(self, needs: Iterable[Need]) -> float:
+        """The CPUs (and GPUs) that `fill` would put to use; uses up this room only."""
         taken = 0.0
         for need in needs:
-            spec = need.job.spec
-            if need.count <= 0 or (need.spot_only and not self.offer.spot) or not allowed_on(spec, self.offer.type, self.offer.zone, self.offer.spot):
-                continue
-            count = min(need.count, self.slots(spec) * need.turns, zone_room(need, self.offer.zone))
-            if count <= 0:
-                continue
-            places = -(-count // need.turns)
-            self.cpus -= places * spec.cpus
-            self.gpus -= places * spec.gpus
-            self.memory_gb -= places * spec.memory_gb
-            need.count -= count
-            need.spread[self.offer.zone] = need.spread.get(self.offer.zone, 0) + count
-            taken += places * (spec.cpus + spec.gpus)
+            if self.full():
+                break
+            _, places = self.take(need)
+            taken += places * (need.job.spec.cpus + need.job.spec.gpus)
         return taken
 
 
@@ -88,17 +106,29 @@
     """The cheapest machines, by price for what they would be used, until every need has a place."""
     chosen: list[Offer] = []
     open_offers = offers(types, blocked)
-    while len(chosen) < most:
-        need = next((n for n in needs if n.count > 0 and _candidates(n, open_offers)), None)
-        if need is None:
-            return chosen
-        scored = [(_score(offer, kind, needs), i) for i, (offer, kind) in enumerate(_candidates(need, open_offers))]
-        offer, kind = _candidates(need, open_offers)[min(scored)[1]]
-        bin_of(offer, kind).fill([need, *needs])
-        chosen.append(offer)
+    urgent = any(n.job.spec.kind is Kind.SERVICE or n.job.spec.deadline_s for n in needs if n.count > 0)
+    for need in needs:
+        while need.count > 0 and len(chosen) < most:
+            candidates = _candidates(need, open_offers)
+            if not candidates:
+                break
+            offer, kind = min(candidates, key=lambda pair: _score(pair[0], pair[1], needs, urgent))
+            chosen += [offer] * _fill(offer, kind, need, needs, most - len(chosen))
     return chosen
 
 
+def _fill(offer: Offer, kind: MachineType, need: Need, needs: list[Need], most: int) -> int:
+    """Put needs into machines of the offer: at once as many as the first need fills; how many machines."""
+    first = bin_of(offer, kind)
+    held = first.slots(need.job.spec) * need.turns
+    first.fill([need, *needs])
+    count = 1
+    while count < most and held > 0 and need.count >= held and zone_room(need, offer.zone) >= held:
+        bin_of(offer, kind).fill([need, *needs])
+        count += 1
+    return count
+
+
 def _candidates(need: Need, open_offers: list[tuple[Offer, MachineType]]) -> list[tuple[Offer, MachineType]]:
     spec = need.job.spec
     return [
@@ -108,9 +138,7 @@
     ]  # fmt: skip
 
 
-def _score(offer: Offer, kind: MachineType, needs: list[Need]) -> float:
+def _score(offer: Offer, kind: MachineType, needs: list[Need], urgent: bool) -> float:
     """Price per CPU put to use, a little more for types that boot slowly."""
-    trial = [Need(n.job, n.count, dict(n.spread), n.spot_only, n.turns) for n in needs if n.count > 0]
-    taken = bin_of(offer, kind).fill(trial)
-    urgent = any(n.job.spec.kind is Kind.SERVICE or n.job.spec.deadline_s for n in needs if n.count > 0)
-    return price_of(offer, kind) / max(taken, EPS) * (1 + (kind.boot_s / 60 if urgent else 0))
+    taken = bin_of(offer, kind).would_take(needs)
+    return price_of(offer, kind) / max(taken, EPS) * (1 + (kind.boot_s / c.BOOT_WORTH_S if urgent else 0))
--- a/pepperlatch/leader.py
+++ b/pepperlatch/leader.py
@@ -59,6 +59,8 @@
         self._hire_of: dict[str, set[str]] = {}  # hire record -> its machines that are not recorded yet
         self._persist_at = 0.0
         self._rented_at = 0.0
+        self._plan_after = 0.0
+        self._fencing = trio.CapacityLimiter(c.FENCE_AT_ONCE)
         self._housekeep_at = 0.0
         self.nursery: trio.Nursery | None = None
 
@@ -123,16 +125,26 @@
             self.nursery.start_soon(task, *args)
 
     async def _fence(self, machine: Machine) -> None:
-        """Show the machine our token, so that no earlier leader can command it any more."""
-        while machine.name in self.cluster.unaccounted and not self.term.over:
-            try:
-                report = await self._workers.inspect(machine.addr, c.FENCE_TRY_S)
-                executed, report = await self._workers.command(machine.addr, self.term.token, report.session, [], c.FENCE_TRY_S)
-                self._owner.post(lambda r=report: self._direct_report(r))  # type: ignore[misc]
-                if executed:
+        """Show the machine our token, so that no earlier leader can command it any more.
+
+        A bounded number at once: hundreds together would miss their deadlines on our share of a core, be
+        tried again, and keep the leader from its lease. What does not answer goes to the end of the line.
+        """
+        while not self.term.over:
+            async with self._fencing:
+                if machine.name not in self.cluster.unaccounted or self.term.over:
                     return
-            except (NotSent, Lost):
-                pass
+                session = max(1, machine.session)  # most machines are in their first; else the answer tells
+                try:
+                    executed, report = await self._workers.command(machine.addr, self.term.token, session, [], c.FENCE_TRY_S)
+                    self._owner.post(lambda r=report: self._direct_report(r))  # type: ignore[misc]
+                    if not executed and report.session != session:
+                        executed, report = await self._workers.command(machine.addr, self.term.token, report.session, [], c.FENCE_TRY_S)
+                        self._owner.post(lambda r=report: self._direct_report(r))  # type: ignore[misc]
+                    if executed:
+                        return
+                except (NotSent, Lost):
+                    pass
             await trio.sleep(c.FENCE_PAUSE_S)
 
     # --- jobs -------------------------------------------------------------------------------------
@@ -200,17 +212,12 @@
             return
         now = self._clock()
         sure, may = self.term.sure(now), self.term.may_answer(now)
-        self.cluster.expire(now)
         if now - self._housekeep_at >= c.TICK_S:
             self._housekeep_at = now
+            self.cluster.expire(now)
             self._housekeep(now, sure)
-        if self.cluster.dirty and may:
-            self.planner.notices(now)
-            self.planner.place_all(now)
-            self.planner.preempt(now)
-            if sure and now - self._rented_at >= c.RENT_GAP_S:
-                self._rented_at = now
-                self._rent(now)
+        if self.cluster.dirty and may and now >= self._plan_after:
+            self._plan(now, sure)
         self._answer_beats(now, sure, may)
         if may:
             self._send_direct(now)
@@ -218,6 +225,19 @@
             self._persist(now)
             self._record(now)
 
+    def _plan(self, now: float, sure: bool) -> None:
+        """A long round is followed by a long rest: reports and leases come before planning."""
+        self.planner.notices(now)
+        self.planner.place_all(now)
+        self.planner.preempt(now)
+        if sure and now - self._rented_at >= c.RENT_GAP_S:
+            self._rented_at = now
+            self._rent(now)
+        took = self._clock() - now
+        self._plan_after = now + took + max(c.PLAN_GAP_S, c.PLAN_REST * took)
+        if took > c.PLAN_LONG_S:
+            log.info("a round of planning took %.3f s", took)
+
     def _refuse_beats(self) -> None:
         beats, self._beats = self._beats, []
         for _, _, reply in beats:
--- a/pepperlatch/model.py
+++ b/pepperlatch/model.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from pepperlatch.constants import EPS as EPS
 from pepperlatch.wire import JobSpec, Kind, MachineType, TaskReport, TaskState
 
 
@@ -152,9 +153,6 @@
             self.images.pop(next(iter(self.images)))
 
 
-EPS = 1e-6
-
-
 def split_task(name: str) -> tuple[str, int] | None:
     job_id, _, task = name.rpartition("/")
     return (job_id, int(task)) if job_id and task.isdigit() else None
--- a/pepperlatch/placement.py
+++ b/pepperlatch/placement.py
@@ -1,11 +1,12 @@
 """Where a task goes: a machine that has or is fetching the image, then the fullest that fits."""
 
+import heapq
 from collections import Counter
 from collections.abc import Callable, Iterable
 
 from pepperlatch import constants as c
-from pepperlatch.model import Job, Machine, Status, allowed_on
-from pepperlatch.wire import Kind
+from pepperlatch.model import EPS, Job, Machine, Status, allowed_on
+from pepperlatch.wire import JobSpec, Kind
 
 
 def usable(machine: Machine, now: float, fresh_s: float) -> bool:
@@ -54,13 +55,62 @@
     return len(recent) >= c.SLOW_SAMPLES and sorted(recent)[len(recent) // 2] > c.SLOW_FACTOR
 
 
-def choose(job: Job, machines: Iterable[Machine], zones: Iterable[str], free: Callable[[Machine], bool]) -> Machine | None:
-    """The best of the usable machines for the job's next task, of those whose room is free for it."""
-    open_zones = set(zones_open(job, zones))
-    spec = job.spec
-    used = Counter(a.machine.name for a in job.live.values()) if spec.kind is Kind.SERVICE else Counter()
-    fitting = [m for m in machines if m.zone in open_zones and m.has_room(spec) and allowed_on(spec, m.type.name, m.zone, m.spot) and free(m)]
-    return min(fitting, key=lambda m: rank(m, job, used), default=None)
+class Candidates:
+    """Usable machines with room for a job's tasks, best first, kept in order while the tasks are placed.
+
+    A machine's rank changes only by what is placed on it, so it is looked at again when it comes first:
+    a job of many tasks looks at every machine once, not once a task. A machine that has no room, is in a
+    zone that is full, or whose room is kept free stays so within one round and is dropped.
+    """
+
+    def __init__(self, job: Job, machines: Iterable[Machine], zones: Iterable[str], free: Callable[[Machine], bool]) -> None:
+        self._job = job
+        self._free = free
+        self._zones = set(zones)
+        self._in_zone = Counter(a.machine.zone for a in job.live.values())
+        self._on = Counter(a.machine.name for a in job.live.values()) if job.spec.kind is Kind.SERVICE else Counter()
+        spec = job.spec
+        fitting = [m for m in machines if m.has_room(spec) and allowed_on(spec, m.type.name, m.zone, m.spot) and self._open(m.zone)]
+        self._heap = [(rank(m, job, self._on), n, m) for n, m in enumerate(fitting)]
+        heapq.heapify(self._heap)
+
+    def _open(self, zone: str) -> bool:
+        if self._job.spec.one_zone and self._in_zone:
+            return len(self._in_zone) == 1 and zone in self._in_zone
+        return zone in self._zones and self._in_zone[zone] < zone_bound(self._job)
+
+    def fits(self, machine: Machine) -> bool:
+        spec = self._job.spec
+        return (
+            machine.has_room(spec) and allowed_on(spec, machine.type.name, machine.zone, machine.spot)
+            and self._open(machine.zone) and self._free(machine)
+        )  # fmt: skip
+
+    def best(self) -> Machine | None:
+        heap = self._heap
+        while heap:
+            held, n, machine = heap[0]
+            if not (machine.has_room(self._job.spec) and self._open(machine.zone) and self._free(machine)):
+                heapq.heappop(heap)
+                continue
+            present = rank(machine, self._job, self._on)
+            if present == held:
+                return machine
+            heapq.heapreplace(heap, (present, n, machine))
+        return None
+
+    def took(self, machine: Machine) -> None:
+        """One task of the job was placed there."""
+        self._in_zone[machine.zone] += 1
+        if self._job.spec.kind is Kind.SERVICE:
+            self._on[machine.name] += 1
+
+
+def roomy(machines: Iterable[Machine], specs: Iterable[JobSpec]) -> list[Machine]:
+    """Machines with room for the smallest of the tasks at least; in a full cluster few are left to look at."""
+    specs = list(specs)
+    cpus, gpus, gb = (min((getattr(s, name) for s in specs), default=0.0) - EPS for name in ("cpus", "gpus", "memory_gb"))
+    return [m for m in machines if m.free_cpus >= cpus and m.free_gpus >= gpus and m.free_gb >= gb]
 
 
 def choose_zone(job: Job, machines: list[Machine], zones: Iterable[str]) -> str | None:
@@ -77,4 +127,4 @@
 def machine_slots(job: Job, machine: Machine) -> int:
     spec = job.spec
     pairs = ((spec.cpus, machine.free_cpus), (spec.gpus, machine.free_gpus), (spec.memory_gb, machine.free_gb))
-    return max(0, min((int((free + 1e-6) // need) for need, free in pairs if need > 0), default=spec.tasks))
+    return max(0, min((int((free + EPS) // need) for need, free in pairs if need > 0), default=spec.tasks))
--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -1,5 +1,6 @@
 """One round of planning: order the jobs, place, preempt, rent, drain, return. No I/O, no clock."""
 
+import heapq
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -7,7 +8,8 @@
 from pepperlatch import draining, fleet, placement, quota, supply
 from pepperlatch.cluster import Cluster
 from pepperlatch.fleet import Bin, Need, Offer
-from pepperlatch.model import Attempt, Job, Machine, Phase, Status, allowed_on, fits_type
+from pepperlatch.model import EPS, Attempt, Job, Machine, Phase, Status, allowed_on, fits_type
+from pepperlatch.placement import Candidates
 from pepperlatch.supply import Spare
 from pepperlatch.tuning import Tuning
 from pepperlatch.wire import RANK, JobSpec, Kind
@@ -30,7 +32,7 @@
     # --- placing ----------------------------------------------------------------------------------
 
     def fresh_s(self) -> float:
-        return 2.2 * self.cluster.params.workers.report_s
+        return c.FRESH_REPORTS * self.cluster.params.workers.report_s
 
     def usable(self, now: float) -> list[Machine]:
         unaccounted = self.cluster.unaccounted
@@ -60,7 +62,9 @@
         homes = [m for m in machines if not placement.pinned(m, cheapest)]
         self.spare.count(homes, [j.spec for j in cluster.jobs.values() if not j.over], self.tuning["spare_jobs"])
         self.needs = []
-        for job in self.ordered(now):
+        jobs = self.ordered(now)
+        machines = placement.roomy(machines, (j.spec for j in jobs))
+        for job in jobs:
             if rebuilding and job.old:
                 job.explain("controllers are rebuilding their picture", now)
             elif now < job.not_before:
@@ -74,26 +78,30 @@
     def _place_tasks(self, job: Job, machines: list[Machine], now: float) -> None:
         cluster = self.cluster
         room = cluster.quota.room(job.spec)
-        zones = cluster.params.zones
-        if job.spec.one_zone and not job.live:
-            best = placement.choose_zone(job, machines, zones)
-            zones = [best] if best else []
-        while job.waiting and room > 0:
-            machine = self._preferred(job, machines, zones, now) or self._choose(job, machines, zones, now)
-            if machine is None:
-                break
-            cluster.place(job, job.waiting.popleft(), machine, now)
-            self.spare.took(machine)
-            room -= 1
+        if room > 0:
+            candidates = self._candidates(job, machines, now)
+            while job.waiting and room > 0:
+                machine = self._preferred(job, candidates, machines) or candidates.best()
+                if machine is None:
+                    break
+                cluster.place(job, job.waiting.popleft(), machine, now)
+                candidates.took(machine)
+                self.spare.took(machine)
+                room -= 1
         if job.waiting:
             self._unplaced(job, min(room, len(job.waiting)), now)
 
-    def _choose(self, job: Job, machines: list[Machine], zones: list[str], now: float) -> Machine | None:
-        if job.spec.kind is Kind.SERVICE and not job.ran and now - job.submitted < c.PIN_WAIT_S and self._cheap_to_be_had(job.spec, now):
-            machines = [m for m in machines if not placement.pinned(m, self._cheapest(job.spec))]
+    def _candidates(self, job: Job, machines: list[Machine], now: float) -> Candidates:
+        spec, zones = job.spec, self.cluster.params.zones
+        if spec.one_zone and not job.live:
+            best = placement.choose_zone(job, machines, zones)
+            zones = [best] if best else []
+        if spec.kind is Kind.SERVICE and not job.ran and now - job.submitted < c.PIN_WAIT_S and self._cheap_to_be_had(spec, now):
+            cheapest = self._cheapest(spec)
+            machines = [m for m in machines if not placement.pinned(m, cheapest)]
         if self._thrifty(job, now):
             machines = [m for m in machines if m.spot or m.holds_replicas() or m.used_share() >= c.EMPTYING_SHARE]
-        return placement.choose(job, machines, zones, lambda m: self.spare.allows(job.spec, m))
+        return Candidates(job, machines, zones, lambda m: self.spare.allows(spec, m))
 
     def _thrifty(self, job: Job, now: float) -> bool:
         """Work beyond a guarantee that has much time left waits for cheap room, and lets dear machines get empty."""
@@ -115,10 +123,10 @@
             for zone in t.zones if allowed_on(spec, t.name, zone, False)
         )  # fmt: skip
 
-    def _preferred(self, job: Job, machines: list[Machine], zones: list[str], now: float) -> Machine | None:
+    def _preferred(self, job: Job, candidates: Candidates, machines: list[Machine]) -> Machine | None:
         """Where a drain promised the next task a place."""
         target = job.prefer.pop(job.waiting[0], None)
-        return self._choose(job, [target], zones, now) if target is not None and target in machines else None
+        return target if target is not None and target in machines and candidates.fits(target) else None
 
     def _place_gang(self, job: Job, machines: list[Machine], now: float) -> None:
         """All tasks or none, under one attempt number."""
@@ -128,17 +136,17 @@
         if cluster.quota.room(spec) < spec.tasks:
             job.explain("team limit", now)
             return
-        zones = cluster.params.zones
-        if spec.one_zone:
-            best = placement.choose_zone(job, machines, zones)
-            zones = [best] if best else []
+        candidates = self._candidates(job, machines, now)
         number = cluster.new_number()
         placed: list[Attempt] = []
-        while job.waiting and (machine := self._choose(job, machines, zones, now)) is not None:
+        while job.waiting and (machine := candidates.best()) is not None:
             placed.append(cluster.place(job, job.waiting.popleft(), machine, now, number))
+            candidates.took(machine)
+            self.spare.took(machine)
         if job.waiting:
             for attempt in placed:
                 cluster.undo(attempt)
+                self.spare.took(attempt.machine)
             self._unplaced(job, spec.tasks, now)
 
     def _unplaced(self, job: Job, count: int, now: float) -> None:
@@ -153,6 +161,9 @@
         """Make room for what may preempt, stopping the tasks that lose least."""
         left = c.PREEMPT_MOST
         inside = self.inside
+        machines = self.usable(now) if self.needs else []
+        running = (j for j in self.cluster.jobs.values() if j.live and j.spec.kind is Kind.ARRAY)
+        last = max(map(self._place_key, running), default=(False, 0))
         stopping = sum(1 for m in self.cluster.machines.values() for a in m.attempts.values() if not a.wanted)
         for need in self.needs:
             job = need.job
@@ -160,54 +171,57 @@
                 return
             if (RANK[job.spec.priority] > 1 and job.spec.id not in inside) or now < job.preempt_after:
                 continue
+            if self._place_key(job) >= last:  # nothing runs that would be placed later
+                continue
             job.preempt_after = now + c.PREEMPT_PAUSE_S
-            for _ in range(min(need.count, left)):
-                victims = self._victims(job, inside, now)
-                if not victims:
-                    break
+            for victims in self._victims(job, machines, min(need.count, left), now):
                 for victim in victims:
                     self.cluster.stop(victim, victim.job.spec.save_s)
                 left -= len(victims)
 
+    def _place_key(self, job: Job) -> tuple[bool, int]:
+        """Jobs are placed in this order, by age within it."""
+        return (job.spec.id not in self.inside, RANK[job.spec.priority])
+
     def _may_stop(self, victim: Attempt, job: Job, inside: set[str]) -> bool:
         """Only what would also be placed after the job: else it takes the room back, again and again."""
         other, guaranteed = victim.job.spec, job.spec.id in inside
         if not victim.wanted or victim.phase is not Phase.THERE or other.kind is not Kind.ARRAY:
             return False
-        if (other.id not in inside, RANK[other.priority]) <= (not guaranteed, RANK[job.spec.priority]):
+        if self._place_key(victim.job) <= self._place_key(job):
             return False
         if RANK[other.priority] > RANK[job.spec.priority]:
             return True
         return guaranteed and other.team != job.spec.team and self.cluster.quota.over_guarantee(other.team)
 
-    def _victims(self, job: Job, inside: set[str], now: float) -> list[Attempt]:
-        best: tuple[float, list[Attempt]] | None = None
+    def _victims(self, job: Job, machines: list[Machine], count: int, now: float) -> list[list[Attempt]]:
+        """Whom to stop for so many of the job's tasks: the cheapest, one task's room a machine."""
         zones = set(placement.zones_open(job, self.cluster.params.zones))
-        for machine in self.usable(now):
+        inside, found = self.inside, []
+        for n, machine in enumerate(machines):
             if self.spare.short() and self.spare.guards(job.spec, machine):
                 continue
             if machine.zone not in zones or not allowed_on(job.spec, machine.type.name, machine.zone, machine.spot):
                 continue
             victims = self._enough(job, machine, inside, now)
             if victims:
-                cost = sum(lost_work(a, now) for a in victims)
-                if best is None or cost < best[0]:
-                    best = (cost, victims)
-        return best[1] if best else []
+                found.append((sum(lost_work(a, now) for a in victims), n, victims))
+        return [victims for _, _, victims in heapq.nsmallest(count, found)]
 
     def _enough(self, job: Job, machine: Machine, inside: set[str], now: float) -> list[Attempt]:
+        """Those on the machine that would have to go, least lost work first; empty if that is not enough."""
         spec = job.spec
+        may = [a for a in machine.attempts.values() if self._may_stop(a, job, inside)]
         free = [machine.free_cpus, machine.free_gpus, machine.free_gb]
         need = (spec.cpus, spec.gpus, spec.memory_gb)
         victims: list[Attempt] = []
-        for victim in sorted(machine.attempts.values(), key=lambda a: lost_work(a, now)):
-            if all(f >= n - 1e-6 for f, n in zip(free, need, strict=True)):
+        for victim in sorted(may, key=lambda a: lost_work(a, now)):
+            if all(f >= n - EPS for f, n in zip(free, need, strict=True)):
                 return victims
-            if self._may_stop(victim, job, inside):
-                victims.append(victim)
-                gains = (victim.job.spec.cpus, victim.job.spec.gpus, victim.job.spec.memory_gb)
-                free = [f + g for f, g in zip(free, gains, strict=True)]
-        return victims if all(f >= n - 1e-6 for f, n in zip(free, need, strict=True)) else []
+            victims.append(victim)
+            gains = (victim.job.spec.cpus, victim.job.spec.gpus, victim.job.spec.memory_gb)
+            free = [f + g for f, g in zip(free, gains, strict=True)]
+        return victims if all(f >= n - EPS for f, n in zip(free, need, strict=True)) else []
 
     # --- renting ----------------------------------------------------------------------------------
 
@@ -220,7 +234,7 @@
     def _coming(self, machine: Machine, now: float) -> bool:
         if machine.status is Status.JOINING:
             return True
-        return machine.status is Status.BOOTING and now - machine.born < 1.6 * machine.type.boot_s + 5
+        return machine.status is Status.BOOTING and now - machine.born < c.BOOT_SPREAD * machine.type.boot_s + c.BOOT_SLACK_S
 
     def rent(self, now: float) -> list[Offer]:
         """What to ask the cloud for, after counting on what is already booting."""
@@ -289,7 +303,7 @@
             if self.spare.needs(machine) and not machine.quarantined and machine.notice_at is None:
                 continue
             useless = machine.quarantined or machine.notice_at is not None or machine.draining is not None
-            if useless or (not wanted and now - machine.idle_since >= self.tuning["idle_s"] and now - machine.born >= c.MIN_CHARGE_S - 5):
+            if useless or (not wanted and now - machine.idle_since >= self.tuning["idle_s"] and now - machine.born >= c.MIN_CHARGE_S - c.CHARGE_SLACK_S):
                 out.append(machine)
         return out
 
--- a/pepperlatch/supply.py
+++ b/pepperlatch/supply.py
@@ -1,6 +1,7 @@
 """Room that will come by itself, and room that is kept free. No I/O, no clock."""
 
 import math
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -42,7 +43,8 @@
     """Let finishing tasks' places serve the need, several in a row where time allows; they come free later then."""
     spec = need.job.spec
     run_s = max(spec.estimate_s, 1.0)
-    for place in sorted(places, key=lambda p: p.free_in_s):
+    places.sort(key=lambda p: p.free_in_s)
+    for place in places:
         if need.count <= 0 or place.free_in_s > patience_s:
             return
         machine, old = place.machine, place.spec
@@ -66,6 +68,8 @@
     wanted: int = 0
     images: set[str] = field(default_factory=set)
     _slots: dict[Machine, int] = field(default_factory=dict)
+    _total: int = 0
+    _holding: Counter[str] = field(default_factory=Counter)  # places on machines that hold an image
 
     def count(self, machines: Iterable[Machine], specs: list[JobSpec], jobs: float) -> None:
         replicas = [s for s in specs if s.kind is Kind.SERVICE and s.types is None and s.zone is None]
@@ -74,7 +78,11 @@
         self.spec = None if largest is None else msgspec.structs.replace(largest, id="", one_zone=False, spread=False, tasks=most, spot=False)
         self.wanted = math.ceil(jobs * most)
         self.images = {s.image for s in replicas}
-        self._slots = {m: self._fit(m) for m in machines if not m.spot} if self.spec else {}
+        self._slots, self._total, self._holding = {}, 0, Counter()
+        for machine in machines if self.spec else ():
+            if not machine.spot:
+                self._slots[machine] = 0
+                self.took(machine)
 
     def _fit(self, machine: Machine, taken: JobSpec | None = None) -> int:
         if self.spec is None:
@@ -85,11 +93,19 @@
         return max(0, min((int((f - t + EPS) // n) for n, f, t in zip(need, free, less, strict=True) if n > 0), default=0))
 
     def free(self, image: str | None = None) -> int:
-        return sum(slots for m, slots in self._slots.items() if image is None or image in m.images)
+        return self._total if image is None else self._holding[image]
 
     def took(self, machine: Machine) -> None:
-        if machine in self._slots:
-            self._slots[machine] = self._fit(machine)
+        """The machine's room has changed."""
+        if machine not in self._slots:
+            return
+        more = self._fit(machine) - self._slots[machine]
+        if more:
+            self._slots[machine] += more
+            self._total += more
+            for image in machine.images:
+                if image in self.images:
+                    self._holding[image] += more
 
     def short(self) -> bool:
         return self.free() < self.wanted
@@ -106,5 +122,8 @@
         if not self.guards(spec, machine):
             return True
         lost = self._slots[machine] - self._fit(machine, spec)
-        images: list[str | None] = [image for image in self.images if image in machine.images]
-        return lost <= 0 or all(self.free(image) - lost >= self.wanted for image in [None, *images])
+        if lost <= 0:
+            return True
+        if self._total - lost < self.wanted:
+            return False
+        return all(self._holding[image] - lost >= self.wanted for image in machine.images if image in self.images)
