Silent machines after a takeover are asked about at once, by all others together

Cause: one machine that died while nobody led kept every waiting older task back for 12 s: it was asked about only after 1.4 report intervals, and the others one after the other, up to six of them. Ruled out: fencing itself (all others accounted for within 0.3 s).

Planning also rests 0.1 s between rounds and counts replicas as they come.

--- a/pepperlatch/cluster.py
+++ b/pepperlatch/cluster.py
@@ -102,9 +102,7 @@
     def _register(self, attempt: Attempt) -> None:
         machine, job = attempt.machine, attempt.job
         job.live[attempt.task] = attempt
-        machine.attempts[(attempt.name, attempt.number)] = attempt
-        machine.take(job.spec)
-        machine.idle_since = None
+        machine.add(attempt)
         self.quota.of(job.spec.team).add(job.spec, 1)
         self.touched.add(machine)
 
@@ -125,11 +123,10 @@
     def _remove(self, attempt: Attempt, now: float) -> None:
         """The task is proven gone from its machine."""
         machine, job = attempt.machine, attempt.job
-        if machine.attempts.pop((attempt.name, attempt.number), None) is None:
+        if not machine.drop(attempt):
             return
         if job.live.get(attempt.task) is attempt:
             del job.live[attempt.task]
-        machine.give(job.spec)
         self.quota.of(job.spec.team).add(job.spec, -1)
         if not machine.attempts:
             machine.idle_since = now
@@ -193,8 +190,12 @@
         if machine.status is Status.BOOTING:
             machine.status = Status.JOINING
             self.to_record.add(machine)
-        if report.token == self.token and machine.name in self.unaccounted:
-            self.unaccounted.discard(machine.name)
+        if report.token == self.token:
+            self._accounted(machine.name, now)
+
+    def _accounted(self, name: str, now: float) -> None:
+        if name in self.unaccounted:
+            self.unaccounted.discard(name)
             self.dirty = True
             if not self.unaccounted:
                 log.info("all machines accounted for, %.1f s after taking over", now - self.started)
@@ -343,7 +344,7 @@
         """The cloud has confirmed that the machine is no more."""
         machine = self.machines.pop(name, None)
         self.gone[name] = None
-        self.unaccounted.discard(name)
+        self._accounted(name, now)
         self.to_release.discard(name)
         self.releasing.discard(name)
         if machine is not None:
@@ -389,7 +390,7 @@
             if holds and machine.status in (Status.UP, Status.LEAVING) and self.lease_over(machine, now):
                 log.info("the lease of %s is over", machine.name)
                 self._all_gone(machine, now)
-                self.unaccounted.discard(machine.name)
+                self._accounted(machine.name, now)
                 self.dirty = True
 
     # --- orders -----------------------------------------------------------------------------------
--- a/pepperlatch/constants.py
+++ b/pepperlatch/constants.py
@@ -49,6 +49,7 @@
 FENCE_TRY_S: Final = 1.0  # s; deadline of one try to fence a machine
 FENCE_AT_ONCE: Final = 48  # machines; a tenth of a second of work on a third of a core, and far below any socket limit
 PLAN_LONG_S: Final = 0.1  # s; a longer round is logged: it keeps reports and polls waiting
+FENCE_SILENT_S: Final = 2.5  # s; two tries to fence; then others are asked whether the machine lives
 FENCE_PAUSE_S: Final = 0.4  # s; between two tries to fence the same machine
 
 # --- workers --------------------------------------------------------------------------------------
@@ -91,7 +92,7 @@
 BOOT_SLACK_S: Final = 5.0  # s; on top of that, for its first report and its record
 FRESH_REPORTS: Final = 2.2  # report intervals since its last report in which a machine gets new tasks
 EPS: Final = 1e-6  # CPUs or GB; sums of decimal amounts are compared with this allowance
-PLAN_GAP_S: Final = 0.05  # s; changes that come together are planned for together
+PLAN_GAP_S: Final = 0.1  # s; changes that come together are planned for together
 PLAN_REST: Final = 3.0  # times its own length that a round is followed by other work: reports go before planning
 ERROR_WINDOW_S: Final = 60.0  # s; errors further apart say nothing about a machine
 ERROR_TASKS: Final = 2  # different tasks failed in a row before a machine is taken to be faulty
--- a/pepperlatch/daemon.py
+++ b/pepperlatch/daemon.py
@@ -259,17 +259,29 @@
         except (NotSent, Lost) as error:
             return Response(504, {"error": str(error)})
 
-    async def inspect_through_peers(self, addr: str) -> Report | None:
-        """Whether a machine that we cannot reach is alive: others may reach it."""
-        for peer in self.settings.peers:
+    async def inspect_through_peers(self, addr: str) -> tuple[Report | None, bool]:
+        """Whether a machine that we cannot reach is alive: others may reach it. All are asked at once.
+
+        Also whether any of them answered at all: if none did, their silence says nothing of the machine.
+        """
+        found: list[Report] = []
+        heard = 0
+
+        async def ask(peer: Peer) -> None:
+            nonlocal heard
             try:
                 status, answer = await self._network.request(peer.addr, "POST", PEER_INSPECT, {"addr": addr}, 2 * c.PROBE_S)
+                heard += 1
                 if status == 200:
-                    report: Report = wire.convert(answer, Report)
-                    return report
+                    found.append(wire.convert(answer, Report))
+                    nursery.cancel_scope.cancel()
             except (NotSent, Lost, msgspec.ValidationError):
-                continue
-        return None
+                return
+
+        async with trio.open_nursery() as nursery:
+            for peer in self.settings.peers:
+                nursery.start_soon(ask, peer)
+        return (found[0] if found else None), heard > 0
 
     def _on_contact(self, body: bytes) -> Response:
         """A follower asks what it may show users, and may stand in for us from now on."""
--- a/pepperlatch/leader.py
+++ b/pepperlatch/leader.py
@@ -27,7 +27,7 @@
 
 log = logging.getLogger(__name__)
 Clock = Callable[[], float]
-AskOthers = Callable[[str], Awaitable[Report | None]]
+AskOthers = Callable[[str], Awaitable[tuple[Report | None, bool]]]  # the report; whether anybody answered
 BeatAnswer = dict[str, Any] | None
 
 
@@ -541,11 +541,15 @@
             cluster.dirty = True
 
     def _silent(self, now: float) -> list[Machine]:
-        report_s = self.settings.params.workers.report_s
+        """Not heard of for long. Right after taking over, fencing has just asked every machine: those are silent sooner."""
+        cluster, report_s = self.cluster, self.settings.params.workers.report_s
         out = []
-        for machine in self.cluster.machines.values():
-            last = machine.seen_at if machine.seen_at >= 0 else self.cluster.started
-            if machine.status is Status.UP and now - last > c.SILENT_REPORTS * report_s:
+        for machine in cluster.machines.values():
+            if machine.status is not Status.UP:
+                continue
+            fenced = machine.seen_at < 0 and machine.name in cluster.unaccounted
+            patience_s = c.FENCE_SILENT_S if fenced else c.SILENT_REPORTS * report_s
+            if now - max(machine.seen_at, cluster.started) > patience_s:
                 out.append(machine)
         return out
 
@@ -553,23 +557,25 @@
         """Silent machines are given up one by one; many at once mean that the network is at fault."""
         if now - max(machine.seen_at, self.cluster.started) > c.SILENT_LONG_S:
             return True
-        return machine.probes >= c.SILENT_PROBES and not many
+        fenced = machine.seen_at < 0  # two tries to fence it came before
+        return machine.probes >= (1 if fenced else c.SILENT_PROBES) and not many
 
     async def _probe(self, machine: Machine) -> None:
         report: Report | None = None
         with contextlib.suppress(NotSent, Lost):
             report = await self._workers.inspect(machine.addr)
-        through_others = False
-        if report is None and machine.probes + 1 >= c.SILENT_PROBES:
-            report = await self._ask_others(machine.addr)
+        through_others, heard = False, True
+        if report is None and (machine.probes + 1 >= c.SILENT_PROBES or machine.seen_at < 0):
+            report, heard = await self._ask_others(machine.addr)
             through_others = report is not None
-        self._owner.post(lambda: self._probed(machine, report, through_others))
+        self._owner.post(lambda: self._probed(machine, report, through_others, heard))
 
-    def _probed(self, machine: Machine, report: Report | None, through_others: bool) -> None:
+    def _probed(self, machine: Machine, report: Report | None, through_others: bool, heard: bool) -> None:
         machine.probing = False
         if through_others:  # its reports are passed on, see Cluster.relayed
             machine.relay_until = self._clock() + c.RELAY_STICKY_S
-        machine.probes += 1
+        if heard or machine.seen_at >= 0:  # right after a crash of all, nobody is there to be asked yet
+            machine.probes += 1
         if report is not None:
             machine.probes = 0
             self._direct_report(report)
--- a/pepperlatch/model.py
+++ b/pepperlatch/model.py
@@ -89,6 +89,7 @@
     free_gpus: float = 0.0
     free_gb: float = 0.0
     attempts: dict[tuple[str, int], Attempt] = field(default_factory=dict)
+    replicas: int = 0  # of services, among the attempts
     ended: dict[tuple[str, int], TaskReport] = field(default_factory=dict)
     sticky: set[tuple[str, int]] = field(default_factory=set)  # launches that may still arrive: never reaped
     images: dict[str, float] = field(default_factory=dict)  # fetched, most recently used last
@@ -136,8 +137,22 @@
     def price(self) -> float:
         return self.type.spot_price if self.spot else self.type.price
 
+    def add(self, attempt: Attempt) -> None:
+        self.attempts[(attempt.name, attempt.number)] = attempt
+        self.replicas += attempt.job.spec.kind is Kind.SERVICE
+        self.take(attempt.job.spec)
+        self.idle_since = None
+
+    def drop(self, attempt: Attempt) -> bool:
+        """Whether it was there."""
+        if self.attempts.pop((attempt.name, attempt.number), None) is None:
+            return False
+        self.replicas -= attempt.job.spec.kind is Kind.SERVICE
+        self.give(attempt.job.spec)
+        return True
+
     def holds_replicas(self) -> bool:
-        return any(a.job.spec.kind is Kind.SERVICE for a in self.attempts.values())
+        return self.replicas > 0
 
     def holds_image(self, spec: JobSpec) -> bool:
         return spec.image_gb <= 0 or spec.image in self.images
--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -164,21 +164,26 @@
         machines = self.usable(now) if self.needs else []
         running = (j for j in self.cluster.jobs.values() if j.live and j.spec.kind is Kind.ARRAY)
         last = max(map(self._place_key, running), default=(False, 0))
-        stopping = sum(1 for m in self.cluster.machines.values() for a in m.attempts.values() if not a.wanted)
+        stopping: bool | None = None  # looked up only if somebody may be stopped
         for need in self.needs:
             job = need.job
-            if left <= 0 or stopping > 0 or job.spec.kind is Kind.GANG:
+            if left <= 0 or job.spec.kind is Kind.GANG:
                 return
             if (RANK[job.spec.priority] > 1 and job.spec.id not in inside) or now < job.preempt_after:
                 continue
             if self._place_key(job) >= last:  # nothing runs that would be placed later
                 continue
+            if stopping is None and (stopping := self._stopping()):
+                return
             job.preempt_after = now + c.PREEMPT_PAUSE_S
             for victims in self._victims(job, machines, min(need.count, left), now):
                 for victim in victims:
                     self.cluster.stop(victim, victim.job.spec.save_s)
                 left -= len(victims)
 
+    def _stopping(self) -> bool:
+        return any(not a.wanted for m in self.cluster.machines.values() for a in m.attempts.values())
+
     def _place_key(self, job: Job) -> tuple[bool, int]:
         """Jobs are placed in this order, by age within it."""
         return (job.spec.id not in self.inside, RANK[job.spec.priority])
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -35,8 +35,8 @@
 
 def run_on(where: Machine, one: Job, task: int, since: float = 0.0) -> Attempt:
     attempt = Attempt(one, task, task + 1, where, since, Phase.THERE, wire.TaskState.RUNNING, since)
-    where.attempts[(attempt.name, attempt.number)] = one.live[task] = attempt
-    where.take(one.spec)
+    one.live[task] = attempt
+    where.add(attempt)
     return attempt
 
 
