Patient work rents spot only; tasks go to spot before images; fencing through others

Causes: (1) arrays within a guarantee rented dear machines that came up long after the guarantee's seconds were over; (2) arrays took ordinary machines that held their image while spot machines stood free, and with them the room replicas need; (3) a leader apart from a zone waited 12 s for that zone's machines, because their reports reached it late.

--- a/pepperlatch/daemon.py
+++ b/pepperlatch/daemon.py
@@ -21,7 +21,8 @@
 from pepperlatch.leadership import Leadership, Term, hold_seconds
 from pepperlatch.model import Status, split_task
 from pepperlatch.owner import Owner, Reply
-from pepperlatch.settings import Peer, Settings, SettingsError, split_address
+from pepperlatch.peers import PEER_FENCE, PEER_INSPECT, Peers
+from pepperlatch.settings import Peer, Settings, split_address
 from pepperlatch.state import StateClient
 from pepperlatch.store import Replica, Watched
 from pepperlatch.users import Progress, Users
@@ -30,7 +31,6 @@
 
 log = logging.getLogger(__name__)
 PEER_BEAT, PEER_CONTACT, PEER_BAR, PEER_HEALTH = "/peer/beat", "/peer/contact", "/peer/bar", "/peer/health"
-PEER_INSPECT = "/peer/inspect"
 
 
 @dataclass(slots=True)
@@ -56,10 +56,6 @@
     relay: list[str] = []  # machines that the leader reaches only through others
 
 
-class InspectMessage(msgspec.Struct):
-    addr: str
-
-
 def _message(body: bytes) -> PeerMessage | None:
     try:
         message: PeerMessage = wire.convert(orjson.loads(body), PeerMessage)
@@ -78,6 +74,7 @@
         self.state = StateClient(network, settings.services.state, params.state, params.nodes, clock)
         self.cloud = CloudClient(network, settings.services.cloud, params.cloud, clock)
         self.workers = WorkerClient(network)
+        self.peers = Peers(settings, network, self.workers)
         self.replica = Replica()
         self.watched = Watched(self.state, self.replica, self._changed)
         hold_s = hold_seconds(params.workers.cancel_s, params.workers.lease_s)
@@ -115,7 +112,7 @@
             return
         self.leader = Leader(
             self.settings, term, self.replica, self.state, self.cloud, self.workers, self.owner,
-            self._clock, self._wall, self.inspect_through_peers,
+            self._clock, self._wall, self.peers,
         )  # fmt: skip
         if self._nursery is not None:
             self._nursery.start_soon(self.leader.run)
@@ -242,47 +239,14 @@
                 return Response(400, {"error": str(error)})
         if request.path == PEER_CONTACT and request.method == "POST":
             return self._on_contact(request.body)
-        if request.path == PEER_INSPECT and request.method == "POST":
-            return await self._inspect_for_peer(request.body)
+        if request.path in (PEER_INSPECT, PEER_FENCE) and request.method == "POST":
+            return await self.peers.serve(request)
         if request.path == PEER_BAR and request.method == "POST":
             return self._on_bar(request.body)
         if request.path == PEER_HEALTH:
             return Response(200, {"state": self._state_good() and self.replica.loaded})
         return await self.admin.handle(request)
 
-    async def _inspect_for_peer(self, body: bytes) -> Response:
-        try:
-            addr = wire.convert(orjson.loads(body), InspectMessage).addr
-            return Response(200, wire.to_plain(await self.workers.inspect(addr)))
-        except (orjson.JSONDecodeError, msgspec.ValidationError, SettingsError) as error:
-            return Response(400, {"error": str(error)})
-        except (NotSent, Lost) as error:
-            return Response(504, {"error": str(error)})
-
-    async def inspect_through_peers(self, addr: str) -> tuple[Report | None, bool]:
-        """Whether a machine that we cannot reach is alive: others may reach it. All are asked at once.
-
-        Also whether any of them answered at all: if none did, their silence says nothing of the machine.
-        """
-        found: list[Report] = []
-        heard = 0
-
-        async def ask(peer: Peer) -> None:
-            nonlocal heard
-            try:
-                status, answer = await self._network.request(peer.addr, "POST", PEER_INSPECT, {"addr": addr}, 2 * c.PROBE_S)
-                heard += 1
-                if status == 200:
-                    found.append(wire.convert(answer, Report))
-                    nursery.cancel_scope.cancel()
-            except (NotSent, Lost, msgspec.ValidationError):
-                return
-
-        async with trio.open_nursery() as nursery:
-            for peer in self.settings.peers:
-                nursery.start_soon(ask, peer)
-        return (found[0] if found else None), heard > 0
-
     def _on_contact(self, body: bytes) -> Response:
         """A follower asks what it may show users, and may stand in for us from now on."""
         leader, asked = self.leader, _message(body)
--- a/pepperlatch/leader.py
+++ b/pepperlatch/leader.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any
 
 import trio
@@ -16,6 +16,7 @@
 from pepperlatch.leadership import Term
 from pepperlatch.model import Job, Machine, Status
 from pepperlatch.owner import Owner, Reply
+from pepperlatch.peers import Peers
 from pepperlatch.planner import Planner
 from pepperlatch.settings import Settings
 from pepperlatch.state import Away, StateClient, Unsure
@@ -27,7 +28,6 @@
 
 log = logging.getLogger(__name__)
 Clock = Callable[[], float]
-AskOthers = Callable[[str], Awaitable[tuple[Report | None, bool]]]  # the report; whether anybody answered
 BeatAnswer = dict[str, Any] | None
 
 
@@ -36,7 +36,7 @@
 
     def __init__(
         self, settings: Settings, term: Term, replica: Replica, state: StateClient, cloud: CloudClient,
-        workers: WorkerClient, owner: Owner, clock: Clock, wall: Clock, ask_others: AskOthers,
+        workers: WorkerClient, owner: Owner, clock: Clock, wall: Clock, peers: Peers,
     ) -> None:  # fmt: skip
         self.settings = settings
         self.term = term
@@ -47,7 +47,7 @@
         self._owner = owner
         self._clock = clock
         self._wall = wall
-        self._ask_others = ask_others
+        self._peers = peers
         now = clock()
         self.cluster = Cluster(settings.node, term.token, settings.params, now, term.hold_s, self._spec_if_over)
         self.planner = Planner(self.cluster, Tuning(replica.tuning[0]))
@@ -134,19 +134,30 @@
             async with self._fencing:
                 if machine.name not in self.cluster.unaccounted or self.term.over:
                     return
-                session = max(1, machine.session)  # most machines are in their first; else the answer tells
-                try:
-                    executed, report = await self._workers.command(machine.addr, self.term.token, session, [], c.FENCE_TRY_S)
-                    self._owner.post(lambda r=report: self._direct_report(r))  # type: ignore[misc]
-                    if not executed and report.session != session:
-                        executed, report = await self._workers.command(machine.addr, self.term.token, report.session, [], c.FENCE_TRY_S)
-                        self._owner.post(lambda r=report: self._direct_report(r))  # type: ignore[misc]
+                with contextlib.suppress(NotSent, Lost):
+                    executed, report = await self._show_token(machine, max(1, machine.session))
+                    if not executed and report.session != max(1, machine.session):
+                        executed, _ = await self._show_token(machine, report.session)
                     if executed:
                         return
-                except (NotSent, Lost):
-                    pass
             await trio.sleep(c.FENCE_PAUSE_S)
 
+    async def _show_token(self, machine: Machine, session: int) -> tuple[bool, Report]:
+        """Directly, or through another controller if a cut lies between: its reports are passed on then."""
+        through_others = False
+        try:
+            executed, report = await self._workers.command(machine.addr, self.term.token, session, [], c.FENCE_TRY_S)
+        except (NotSent, Lost):
+            fenced = await self._peers.fence(machine.addr, machine.zone, self.term.token, session)
+            executed, report, through_others = fenced.executed, fenced.report, True
+        self._owner.post(lambda: self._fenced(machine, report, through_others))
+        return executed, report
+
+    def _fenced(self, machine: Machine, report: Report, through_others: bool) -> None:
+        if through_others:
+            machine.relay_until = self._clock() + c.RELAY_STICKY_S
+        self._direct_report(report)
+
     # --- jobs -------------------------------------------------------------------------------------
 
     def _spec_if_over(self, job_id: str) -> wire.JobSpec | None:
@@ -566,7 +577,7 @@
             report = await self._workers.inspect(machine.addr)
         through_others, heard = False, True
         if report is None and (machine.probes + 1 >= c.SILENT_PROBES or machine.seen_at < 0):
-            report, heard = await self._ask_others(machine.addr)
+            report, heard = await self._peers.inspect(machine.addr)
             through_others = report is not None
         self._owner.post(lambda: self._probed(machine, report, through_others, heard))
 
--- a/pepperlatch/model.py
+++ b/pepperlatch/model.py
@@ -157,8 +157,15 @@
     def holds_image(self, spec: JobSpec) -> bool:
         return spec.image_gb <= 0 or spec.image in self.images
 
+    def fetches(self) -> set[str]:
+        """Images that tasks here wait for."""
+        return {
+            a.job.spec.image for a in self.attempts.values()
+            if a.state in (None, TaskState.FETCHING) and a.job.spec.image not in self.images
+        }  # fmt: skip
+
     def fetches_image(self, spec: JobSpec) -> bool:
-        return any(a.job.spec.image == spec.image and a.state in (None, TaskState.FETCHING) for a in self.attempts.values())
+        return spec.image in self.fetches()
 
     def used_image(self, spec: JobSpec) -> None:
         """Keep the same most-recently-used list as the worker does."""
--- /dev/null
+++ b/pepperlatch/peers.py
@@ -0,0 +1,101 @@
+"""Reaching workers through other controllers, when a cut lies between them and the leader."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+import orjson
+import trio
+
+from pepperlatch import constants as c
+from pepperlatch import wire
+from pepperlatch.http.client import Lost, Network, NotSent
+from pepperlatch.http.server import Request, Response
+from pepperlatch.settings import Peer, Settings, SettingsError
+from pepperlatch.wire import Report
+from pepperlatch.workers import WorkerClient
+
+PEER_INSPECT, PEER_FENCE = "/peer/inspect", "/peer/fence"
+
+
+class InspectMessage(msgspec.Struct):
+    addr: str
+
+
+class FenceMessage(msgspec.Struct):
+    addr: str
+    token: int
+    session: int
+
+
+class Fenced(msgspec.Struct):
+    executed: bool
+    report: Report
+
+
+class Peers:
+    def __init__(self, settings: Settings, network: Network, workers: WorkerClient) -> None:
+        self._settings = settings
+        self._network = network
+        self._workers = workers
+
+    # --- asking others ----------------------------------------------------------------------------
+
+    async def inspect(self, addr: str) -> tuple[Report | None, bool]:
+        """Whether a machine that we cannot reach is alive: others may reach it. All are asked at once.
+
+        Also whether any of them answered at all: if none did, their silence says nothing of the machine.
+        """
+        found: list[Report] = []
+        heard = 0
+
+        async def ask(peer: Peer) -> None:
+            nonlocal heard
+            try:
+                status, answer = await self._network.request(peer.addr, "POST", PEER_INSPECT, {"addr": addr}, 2 * c.PROBE_S)
+                heard += 1
+                if status == 200:
+                    found.append(wire.convert(answer, Report))
+                    nursery.cancel_scope.cancel()
+            except (NotSent, Lost, msgspec.ValidationError):
+                return
+
+        async with trio.open_nursery() as nursery:
+            for peer in self._settings.peers:
+                nursery.start_soon(ask, peer)
+        return (found[0] if found else None), heard > 0
+
+    async def fence(self, addr: str, zone: str, token: int, session: int) -> Fenced:
+        """Have another controller show our token to a worker; those in its zone are asked first.
+
+        Carries no orders: a copy that arrives late can do no more than the token itself.
+        """
+        peers = sorted(self._settings.peers, key=lambda p: p.zone != zone)
+        for peer in peers[: c.FENCE_PEERS]:
+            body = {"addr": addr, "token": token, "session": session}
+            try:
+                status, answer = await self._network.request(peer.addr, "POST", PEER_FENCE, body, 2 * c.FENCE_TRY_S)
+                if status == 200:
+                    fenced: Fenced = wire.convert(answer, Fenced)
+                    return fenced
+            except (NotSent, Lost, msgspec.ValidationError):
+                continue
+        raise Lost(f"{addr}: through nobody")
+
+    # --- being asked ------------------------------------------------------------------------------
+
+    async def serve(self, request: Request) -> Response:
+        tell: Callable[[bytes], Awaitable[Any]] = self._fence if request.path == PEER_FENCE else self._inspect
+        try:
+            return Response(200, wire.to_plain(await tell(request.body)))
+        except (orjson.JSONDecodeError, msgspec.ValidationError, SettingsError) as error:
+            return Response(400, {"error": str(error)})
+        except (NotSent, Lost) as error:
+            return Response(504, {"error": str(error)})
+
+    async def _inspect(self, body: bytes) -> Report:
+        return await self._workers.inspect(wire.convert(orjson.loads(body), InspectMessage).addr)
+
+    async def _fence(self, body: bytes) -> Fenced:
+        message = wire.convert(orjson.loads(body), FenceMessage)
+        return Fenced(*await self._workers.command(message.addr, message.token, message.session, [], c.FENCE_TRY_S))
--- a/pepperlatch/placement.py
+++ b/pepperlatch/placement.py
@@ -33,16 +33,28 @@
     return [zone for zone in zones if used[zone] < zone_bound(job)]
 
 
-def rank(machine: Machine, job: Job, used: Counter[str]) -> tuple[float, ...]:
-    """Smaller is better. Replicas go where the image is, to machines that other replicas hold already (else to a cheap one:
-    they stay long and must not pin a large machine), and apart from their siblings, so that one loss costs least.
+def rank(machine: Machine, job: Job, used: Counter[str], start_s: float) -> tuple[float, ...]:
+    """Smaller is better; first of all that a task starts within `start_s`, which a long fetch prevents.
+
+    Tasks that may use spot machines go there before they go where their image is: they cost a third there,
+    and leave the images on ordinary machines to replicas, which may only run on those. Replicas go where
+    the image is, to machines that other replicas hold already (else to a cheap one: they stay long and must
+    not pin a large machine), and apart from their siblings, so that one loss costs least.
     """
     spec = job.spec
-    image = 0 if machine.holds_image(spec) else 1 if machine.fetches_image(spec) else 2
-    kind = 0 if machine.spot == spec.spot else 1
-    apart = used[machine.name] if spec.kind is Kind.SERVICE else 0
-    pins = machine.price() if spec.kind is Kind.SERVICE and not machine.holds_replicas() else 0.0
-    return (is_slow(machine), image, pins, apart, kind, machine.free_cpus, machine.born)
+    fetches = machine.fetches() if not machine.holds_image(spec) else frozenset()
+    image = 0 if machine.holds_image(spec) else 1 if spec.image in fetches else 3 if fetches else 2
+    late = image > 1 and fetch_s(machine, spec) * (1 + len(fetches)) > start_s
+    kind = machine.spot != spec.spot
+    if spec.kind is not Kind.SERVICE:
+        return (is_slow(machine), late, kind, image, machine.free_cpus, machine.born)
+    pins = machine.price() if not machine.holds_replicas() else 0.0
+    return (is_slow(machine), image, pins, used[machine.name], kind, machine.free_cpus, machine.born)
+
+
+def fetch_s(machine: Machine, spec: JobSpec) -> float:
+    """How long the image takes at worst, with the machine's rate for itself."""
+    return spec.image_gb / max(machine.type.fetch_gb_per_s, EPS) * c.FETCH_SPREAD
 
 
 def pinned(machine: Machine, cheapest: float) -> bool:
@@ -63,15 +75,18 @@
     zone that is full, or whose room is kept free stays so within one round and is dropped.
     """
 
-    def __init__(self, job: Job, machines: Iterable[Machine], zones: Iterable[str], free: Callable[[Machine], bool]) -> None:
+    def __init__(
+        self, job: Job, machines: Iterable[Machine], zones: Iterable[str], free: Callable[[Machine], bool], start_s: float
+    ) -> None:  # fmt: skip
         self._job = job
+        self._start_s = start_s
         self._free = free
         self._zones = set(zones)
         self._in_zone = Counter(a.machine.zone for a in job.live.values())
         self._on = Counter(a.machine.name for a in job.live.values()) if job.spec.kind is Kind.SERVICE else Counter()
         spec = job.spec
         fitting = [m for m in machines if m.has_room(spec) and allowed_on(spec, m.type.name, m.zone, m.spot) and self._open(m.zone)]
-        self._heap = [(rank(m, job, self._on), n, m) for n, m in enumerate(fitting)]
+        self._heap = [(rank(m, job, self._on, start_s), n, m) for n, m in enumerate(fitting)]
         heapq.heapify(self._heap)
 
     def _open(self, zone: str) -> bool:
@@ -93,7 +108,7 @@
             if not (machine.has_room(self._job.spec) and self._open(machine.zone) and self._free(machine)):
                 heapq.heappop(heap)
                 continue
-            present = rank(machine, self._job, self._on)
+            present = rank(machine, self._job, self._on, self._start_s)
             if present == held:
                 return machine
             heapq.heapreplace(heap, (present, n, machine))
--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -60,7 +60,7 @@
         machines = self.usable(now)
         cheapest = self._cheapest(self.spare.spec) if self.spare.spec else float("inf")
         homes = [m for m in machines if not placement.pinned(m, cheapest)]
-        self.spare.count(homes, [j.spec for j in cluster.jobs.values() if not j.over], self.tuning["spare_jobs"])
+        self.spare.count(homes, [j.spec for j in cluster.jobs.values() if not j.over], self.tuning["spare_jobs"], self._start_s)
         self.needs = []
         jobs = self.ordered(now)
         machines = placement.roomy(machines, (j.spec for j in jobs))
@@ -101,12 +101,20 @@
             machines = [m for m in machines if not placement.pinned(m, cheapest)]
         if self._thrifty(job, now):
             machines = [m for m in machines if m.spot or m.holds_replicas() or m.used_share() >= c.EMPTYING_SHARE]
-        return Candidates(job, machines, zones, lambda m: self.spare.allows(spec, m))
+        return Candidates(job, machines, zones, lambda m: self.spare.allows(spec, m), self._start_s(spec))
+
+    def _start_s(self, spec: JobSpec) -> float:
+        return supply.start_s(spec, self.cluster.params.objectives)
 
     def _thrifty(self, job: Job, now: float) -> bool:
         """Work beyond a guarantee that has much time left waits for cheap room, and lets dear machines get empty."""
+        return job.spec.id not in self.inside and self._patient(job, now)
+
+    def _patient(self, job: Job, now: float) -> bool:
+        """Whether it has much time left. Nothing dear is rented for it, be it within a guarantee: what a
+        guarantee promises is over before a machine is up."""
         spec = job.spec
-        if spec.kind is not Kind.ARRAY or not spec.spot or spec.id in self.inside or self._turns(job, now) <= 1:
+        if spec.kind is not Kind.ARRAY or not spec.spot or self._turns(job, now) <= 1:
             return False
         waited = now - job.submitted
         return waited < c.THRIFT_SHARE * (waited + supply.slack_s(job, self.cluster.params.objectives, now))
@@ -243,7 +251,7 @@
 
     def rent(self, now: float) -> list[Offer]:
         """What to ask the cloud for, after counting on what is already booting."""
-        needs = [Need(n.job, n.count, dict(n.spread), self._thrifty(n.job, now), self._turns(n.job, now)) for n in self.needs]
+        needs = [Need(n.job, n.count, dict(n.spread), self._patient(n.job, now), self._turns(n.job, now)) for n in self.needs]
         for room in self.booting_bins(now):
             room.fill(needs)
         self._count_on_finishing(needs, now)
--- a/pepperlatch/supply.py
+++ b/pepperlatch/supply.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -39,6 +39,11 @@
     return max(0.0, min(slack, default=0.0) * c.SLACK_SHARE)
 
 
+def start_s(spec: JobSpec, objectives: Iterable[Objective]) -> float:
+    """How soon the class's tasks are to start, by the strictest aim; for ever if there is none."""
+    return min((a.within_s for a in objectives if a.kind == "wait" and a.job_class == spec.job_class and a.within_s is not None), default=math.inf)
+
+
 def absorb(need: Need, places: list[Place], patience_s: float) -> None:
     """Let finishing tasks' places serve the need, several in a row where time allows; they come free later then."""
     spec = need.job.spec
@@ -66,18 +71,22 @@
 
     spec: JobSpec | None = None  # the largest replica there is, as a job that nobody submitted
     wanted: int = 0
-    images: set[str] = field(default_factory=set)
+    _fetched_at: dict[str, float] = field(default_factory=dict)  # image -> GB a second that would be soon enough
     _slots: dict[Machine, int] = field(default_factory=dict)
     _total: int = 0
     _holding: Counter[str] = field(default_factory=Counter)  # places on machines that hold an image
 
-    def count(self, machines: Iterable[Machine], specs: list[JobSpec], jobs: float) -> None:
+    def count(self, machines: Iterable[Machine], specs: list[JobSpec], jobs: float, start_s: Callable[[JobSpec], float] = lambda s: 0.0) -> None:
+        """`start_s`: how soon a replica is to start. An image that can be fetched within that needs no room where it is."""
         replicas = [s for s in specs if s.kind is Kind.SERVICE and s.types is None and s.zone is None]
         largest = max(replicas, key=lambda s: (s.cpus, s.gpus, s.memory_gb), default=None)
         most = max((s.tasks for s in replicas), default=0)
         self.spec = None if largest is None else msgspec.structs.replace(largest, id="", one_zone=False, spread=False, tasks=most, spot=False)
         self.wanted = math.ceil(jobs * most)
-        self.images = {s.image for s in replicas}
+        self._fetched_at = {}
+        for spec in replicas:
+            rate = spec.image_gb * c.FETCH_SPREAD / max(start_s(spec), EPS)
+            self._fetched_at[spec.image] = max(rate, self._fetched_at.get(spec.image, 0.0))
         self._slots, self._total, self._holding = {}, 0, Counter()
         for machine in machines if self.spec else ():
             if not machine.spot:
@@ -103,9 +112,8 @@
         if more:
             self._slots[machine] += more
             self._total += more
-            for image in machine.images:
-                if image in self.images:
-                    self._holding[image] += more
+            for image in self._kept(machine):
+                self._holding[image] += more
 
     def short(self) -> bool:
         return self.free() < self.wanted
@@ -126,4 +134,8 @@
             return True
         if self._total - lost < self.wanted:
             return False
-        return all(self._holding[image] - lost >= self.wanted for image in machine.images if image in self.images)
+        return all(self._holding[image] - lost >= self.wanted for image in self._kept(machine))
+
+    def _kept(self, machine: Machine) -> list[str]:
+        """Images here that a new replica could not wait for elsewhere."""
+        return [image for image in machine.images if self._fetched_at.get(image, 0.0) > machine.type.fetch_gb_per_s]
