What is late anyway yields to what is not; submissions go straight into a transaction

Ruled out: long fetches as the reason for the burst's waits (the cloud's 571 machines are full). Stories for seven nodes and hundreds of machines come with it.

--- a/pepperlatch/model.py
+++ b/pepperlatch/model.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from pepperlatch.constants import EMPTYING_SHARE
 from pepperlatch.constants import EPS as EPS
 from pepperlatch.wire import JobSpec, Kind, MachineType, TaskReport, TaskState
 
@@ -90,6 +91,7 @@
     free_gb: float = 0.0
     attempts: dict[tuple[str, int], Attempt] = field(default_factory=dict)
     replicas: int = 0  # of services, among the attempts
+    replica_share: float = 0.0  # of its CPUs (or GPUs) that they use
     ended: dict[tuple[str, int], TaskReport] = field(default_factory=dict)
     sticky: set[tuple[str, int]] = field(default_factory=set)  # launches that may still arrive: never reaped
     images: dict[str, float] = field(default_factory=dict)  # fetched, most recently used last
@@ -139,7 +141,7 @@
 
     def add(self, attempt: Attempt) -> None:
         self.attempts[(attempt.name, attempt.number)] = attempt
-        self.replicas += attempt.job.spec.kind is Kind.SERVICE
+        self._count_replica(attempt.job.spec, 1)
         self.take(attempt.job.spec)
         self.idle_since = None
 
@@ -147,10 +149,19 @@
         """Whether it was there."""
         if self.attempts.pop((attempt.name, attempt.number), None) is None:
             return False
-        self.replicas -= attempt.job.spec.kind is Kind.SERVICE
+        self._count_replica(attempt.job.spec, -1)
         self.give(attempt.job.spec)
         return True
 
+    def _count_replica(self, spec: JobSpec, by: int) -> None:
+        if spec.kind is Kind.SERVICE:
+            self.replicas += by
+            self.replica_share += by * max(spec.cpus / self.type.cpus if self.type.cpus else 0.0, spec.gpus / self.type.gpus if self.type.gpus else 0.0)
+
+    def kept(self) -> bool:
+        """Replicas alone keep it from being drained: what else runs there costs nothing more."""
+        return self.replica_share >= EMPTYING_SHARE - EPS
+
     def holds_replicas(self) -> bool:
         return self.replicas > 0
 
--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -42,15 +42,27 @@
         ]  # fmt: skip
 
     def ordered(self, now: float) -> list[Job]:
+        """Within a guarantee first, then by priority, then what can still meet its next aim soonest.
+
+        A guarantee holds against other teams. Among a team's own jobs of one priority that have not run yet,
+        what is not late goes first, on the places in the order that are the team's. What has run keeps its
+        place, or work stopped for others could take the room back.
+        """
+        aims = self.cluster.params.objectives
         jobs = [j for j in self.cluster.jobs.values() if not j.over]
         inside = self.inside = quota.within_guarantee(jobs, self.cluster.quota.teams)
-
-        def key(job: Job) -> tuple[float, ...]:
-            spec = job.spec
-            due = job.submitted + spec.deadline_s if spec.deadline_s else float("inf")
-            return (spec.id not in inside, RANK[spec.priority], due, job.version)
-
-        return sorted((j for j in jobs if j.waiting), key=key)
+        waiting = [j for j in jobs if j.waiting]
+        due = {j.spec.id: (supply.next_due(j, aims, j.spec.id in inside, now), j.version) for j in waiting}
+        order = sorted(waiting, key=lambda j: (*self._place_key(j), *due[j.spec.id]))
+        groups: dict[tuple[str, int], list[int]] = {}
+        for place, job in enumerate(order):
+            if not job.ran:
+                groups.setdefault((job.spec.team, RANK[job.spec.priority]), []).append(place)
+        for places in groups.values():
+            theirs = sorted((order[place] for place in places), key=lambda j: due[j.spec.id])
+            for place, job in zip(places, theirs, strict=True):
+                order[place] = job
+        return order
 
     def place_all(self, now: float) -> None:
         """Start what can start; `needs` keeps what found no room."""
@@ -100,7 +112,7 @@
             cheapest = self._cheapest(spec)
             machines = [m for m in machines if not placement.pinned(m, cheapest)]
         if self._thrifty(job, now):
-            machines = [m for m in machines if m.spot or m.holds_replicas() or m.used_share() >= c.EMPTYING_SHARE]
+            machines = [m for m in machines if m.spot or m.kept()]
         return Candidates(job, machines, zones, lambda m: self.spare.allows(spec, m), self._start_s(spec))
 
     def _start_s(self, spec: JobSpec) -> float:
--- a/pepperlatch/supply.py
+++ b/pepperlatch/supply.py
@@ -44,6 +44,26 @@
     return min((a.within_s for a in objectives if a.kind == "wait" and a.job_class == spec.job_class and a.within_s is not None), default=math.inf)
 
 
+def next_due(job: Job, objectives: Iterable[Objective], inside: bool, now: float) -> float:
+    """When the job's tasks must start for the next aim that can still be met; for ever if none can.
+
+    What is late anyway yields to what is not yet: in a crowd that nobody can serve in time, strict order
+    of arrival would make everyone late. After twice its longest aim a job goes first again.
+    """
+    spec, waited = job.spec, now - job.submitted
+    ends = [spec.deadline_s - spec.estimate_s] if spec.deadline_s else []
+    for aim in objectives:
+        if aim.within_s is None:
+            continue
+        if aim.job_class == spec.job_class:
+            ends.append(aim.within_s - (spec.estimate_s if aim.kind == "finished" else 0.0))
+        elif aim.kind == "guarantee" and inside:
+            ends.append(aim.within_s)
+    if ends and waited > c.LOST_AIMS_TIMES * max(ends):
+        return job.submitted
+    return job.submitted + min((end for end in ends if end > waited + c.START_S), default=math.inf)
+
+
 def absorb(need: Need, places: list[Place], patience_s: float) -> None:
     """Let finishing tasks' places serve the need, several in a row where time allows; they come free later then."""
     spec = need.job.spec
--- a/pepperlatch/users.py
+++ b/pepperlatch/users.py
@@ -127,25 +127,34 @@
     # --- submitting -------------------------------------------------------------------------------
 
     async def submit(self, body: bytes) -> Response:
+        """A sound description goes straight into a transaction, which finds out itself whether the id is known.
+
+        Only what is about to be refused is looked up first: a known id counts more than what the body now says.
+        """
         try:
             value = parse_job(body)
         except Malformed as error:
             return Response(400, {"error": str(error)})
-        known = await self._known(wire.job_id_of(value))
-        if known is not None:
-            return known
+        job_id = wire.job_id_of(value)
+        if isinstance(job_id, str) and job_id in self._replica.jobs:
+            return await self._known(job_id) or later()
         try:
-            spec = check_job(value)
-            check_size(spec, self._settings.params.state.value_kb)
-            types = self._replica.types or self.types
-            if not types:
-                return later()
-            check_possible(spec, self._settings, types)
+            spec = self._check(value)
         except Malformed as error:
-            return Response(400, {"error": str(error)})
+            return await self._known(job_id) or Response(400, {"error": str(error)})
         except Impossible as error:
-            return Response(422, {"error": str(error)})
-        return await self._create(spec)
+            return await self._known(job_id) or Response(422, {"error": str(error)})
+        return await self._create(spec) if spec is not None else await self._known(job_id) or later()
+
+    def _check(self, value: Any) -> JobSpec | None:
+        """The sound description; None if this node cannot tell because it knows no machine types yet."""
+        spec = check_job(value)
+        check_size(spec, self._settings.params.state.value_kb)
+        types = self._replica.types or self.types
+        if not types:
+            return None
+        check_possible(spec, self._settings, types)
+        return spec
 
     async def _known(self, job_id: object) -> Response | None:
         """A known job's present state; it counts more than what the body now says."""
@@ -159,7 +168,7 @@
         return Response(200, self._describe(job_id, entry)) if entry is not None else None
 
     async def _create(self, spec: JobSpec) -> Response:
-        submission = self._queue.setdefault(spec.id, _Submission(spec))
+        submission = self._queue.setdefault(spec.id, _Submission(spec))  # the same id twice in flight: one conflicts
         self._wake.set()
         with trio.move_on_after(c.SUBMIT_WAIT_S):
             await submission.settled.wait()
@@ -170,22 +179,35 @@
         return await self._known(spec.id) or later()
 
     async def create_loop(self) -> None:
-        """Submissions that wait together are committed together."""
-        most = self._settings.params.state.txn_ops
-        while True:
-            if not self._queue:
-                self._wake = trio.Event()
-                await self._wake.wait()
-            batch: list[_Submission] = []
-            size = 0
-            for submission in self._queue.values():
-                size += 300 + len(orjson.dumps(wire.to_plain(submission.spec)))
-                if batch and (len(batch) >= most or size > c.TXN_BYTES):
-                    break
-                batch.append(submission)
-            await self._commit(batch)
+        """Submissions that wait together are committed together; a slow answer holds up few of those behind it."""
+        async with trio.open_nursery() as nursery:
+            flying = trio.CapacityLimiter(c.CREATES_AT_ONCE)
+            while True:
+                if not self._queue:
+                    self._wake = trio.Event()
+                    await self._wake.wait()
+                token = object()
+                await flying.acquire_on_behalf_of(token)
+                nursery.start_soon(self._settle, self._take(), flying, token)
+
+    def _take(self) -> list[_Submission]:
+        batch: list[_Submission] = []
+        size = 0
+        for submission in self._queue.values():
+            size += c.RECORD_BYTES + len(orjson.dumps(wire.to_plain(submission.spec)))
+            if batch and (len(batch) >= self._settings.params.state.txn_ops or size > c.TXN_BYTES):
+                break
+            batch.append(submission)
+        for submission in batch:
+            del self._queue[submission.spec.id]
+        return batch
+
+    async def _settle(self, batch: list[_Submission], flying: trio.CapacityLimiter, token: object) -> None:
+        try:
+            await self._commit(list(batch))
+        finally:
+            flying.release_on_behalf_of(token)
             for submission in batch:
-                self._queue.pop(submission.spec.id, None)
                 submission.settled.set()
 
     async def _commit(self, batch: list[_Submission]) -> None:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -21,20 +21,20 @@
 from pepperlatch.settings import parse
 
 STATE, CLOUD = "10.2.0.1:1", "10.2.0.2:1"
-NODES = ["perch-0", "perch-1", "perch-2"]
+NODES = [f"perch-{n}" for n in range(7)]
 ZONES = ["a", "b", "c"]
 LEASE_S, REPORT_S, CANCEL_S = 12.0, 2.0, 30.0
 Answer = tuple[int, Any]
 
 
-def settings_of(index: int) -> Any:
+def settings_of(index: int, count: int = 3) -> Any:
     peers = "".join(
-        f'[[members]]\nnode_name="{n}"\nzone="{ZONES[i]}"\nendpoint="10.0.0.{i}:2"\n' for i, n in enumerate(NODES) if i != index
+        f'[[members]]\nnode_name="{n}"\nzone="{ZONES[i % 3]}"\nendpoint="10.0.0.{i}:2"\n' for i, n in enumerate(NODES[:count]) if i != index
     )
     return parse(
         f"""
 node_name = "{NODES[index]}"
-zone = "{ZONES[index]}"
+zone = "{ZONES[index % 3]}"
 bind = "10.0.0.{index}:1"
 peer_listen = "10.0.0.{index}:2"
 {peers}
@@ -42,7 +42,7 @@
 cloud = "{CLOUD}"
 state = "{STATE}"
 [params]
-nodes = 3
+nodes = {count}
 zones = ["a", "b", "c"]
 [[params.teams]]
 name = "red"
@@ -370,7 +370,7 @@
             elif status == 421 and answer.get("foreman") in NODES and NODES.index(answer["foreman"]) != self.node:
                 self.node = NODES.index(answer["foreman"])
             else:
-                self.node = (self.node + 1) % 3
+                self.node = (self.node + 1) % self.world.count
                 await trio.sleep(1.0)
 
     async def work(self) -> None:
@@ -431,8 +431,9 @@
 
 
 class World:
-    def __init__(self, nursery: trio.Nursery) -> None:
+    def __init__(self, nursery: trio.Nursery, count: int = 3) -> None:
         self.nursery = nursery
+        self.count = count
         self.state = FakeState()
         self.cloud = FakeCloud(self)
         self.workers: list[Worker] = []
@@ -494,7 +495,7 @@
     # --- nodes ------------------------------------------------------------------------------------
 
     def start(self, index: int) -> None:
-        node = Node(settings_of(index), _Link(self, NODES[index]), trio.current_time, lambda: 1e9 + trio.current_time())
+        node = Node(settings_of(index, self.count), _Link(self, NODES[index]), trio.current_time, lambda: 1e9 + trio.current_time())
         self.nodes[index] = node
         self.nursery.start_soon(self._run, index, node)
 
@@ -571,15 +572,15 @@
         return response.status, response.body
 
 
-def story(tell: Callable[[World], Awaitable[None]]) -> None:
-    """Run a story in a world with three nodes; at its end no rule may have been broken."""
+def story(tell: Callable[[World], Awaitable[None]], count: int = 3) -> None:
+    """Run a story in a world with so many nodes; at its end no rule may have been broken."""
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
-            world = World(nursery)
+            world = World(nursery, count)
             nursery.start_soon(world.state.run)
             nursery.start_soon(world.observer.run)
-            for index in range(3):
+            for index in range(count):
                 world.start(index)
             await world.until(lambda: any(n.leader and n.leader.ready and n.leader.cluster.types for n in world.nodes.values()), 10)
             await tell(world)
--- /dev/null
+++ b/tests/test_size.py
@@ -0,0 +1,211 @@
+"""Seven controllers, hundreds of machines: operations are counted, never seconds of the test's own."""
+
+from typing import Any
+
+import orjson
+import pytest
+import trio
+import trio.testing
+
+from pepperlatch import constants as c
+from pepperlatch import placement, wire
+from pepperlatch.cluster import Cluster
+from pepperlatch.fleet import Offer
+from pepperlatch.model import Job, Machine
+from pepperlatch.planner import Planner
+from pepperlatch.settings import Objective
+from pepperlatch.state import Outcome
+from pepperlatch.store import Replica
+from pepperlatch.tuning import Tuning
+from pepperlatch.users import Users
+from tests.fakes import NODES, ZONES, World, job, settings_of, story
+from tests.test_edges import machine, run_on, spec_of
+
+
+def planner_of(machines: list[Machine], *jobs: dict[str, Any]) -> Planner:
+    params = settings_of(0).params
+    params.objectives = [Objective("wait", "x", 250.0)]
+    params.teams[0].cpus_max = 1e6
+    cluster = Cluster("n", 1, params, 0.0, 15.0, lambda job_id: None)
+    cluster.types = {m.type.name: m.type for m in machines}
+    cluster.machines = {m.name: m for m in machines}
+    for number, body in enumerate(jobs):
+        cluster.add_job(wire.convert(body, wire.JobSpec), 10 + number, 0.0, set())
+    return Planner(cluster, Tuning())
+
+
+def test_a_job_looks_at_every_machine_once_not_once_a_task(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Seen: 1400 tasks on 400 machines took 1.7 s to place, and submissions waited for it."""
+    looks = 0
+
+    def counted(*args: Any) -> Any:
+        nonlocal looks
+        looks += 1
+        return rank(*args)
+
+    rank = placement.rank
+    monkeypatch.setattr(placement, "rank", counted)
+    machines = [machine(f"n-{n}", ZONES[n % 3]) for n in range(400)]
+    planner = planner_of(machines, job(1, pieces=300), job(2, pieces=300))
+    planner.place_all(1.0)
+    assert sum(len(m.attempts) for m in machines) == 600
+    assert looks <= 2 * 400 + 3 * 600
+    looks = 0
+    planner.cluster.add_job(wire.convert(job(3, pieces=2, cores=8.0), wire.JobSpec), 12, 0.0, set())
+    for one in machines:
+        one.free_cpus = min(one.free_cpus, 4.0)
+    planner.place_all(2.0)
+    assert looks == 0, "nobody has room for it"
+
+
+def test_tasks_that_may_use_spot_machines_go_there_before_they_go_to_their_image() -> None:
+    dear, cheap = machine("dear"), machine("cheap", spot=True)
+    sweep, board = spec_of(1, loaners=True), spec_of(2, shape="daemon")
+    dear.used_image(sweep)
+    for spec, best in ((sweep, cheap), (board, dear)):
+        one = Job(spec, 1, 0.0, False)
+        assert placement.Candidates(one, [dear, cheap], ZONES, lambda m: True, 250.0).best() is best
+    assert placement.Candidates(Job(sweep, 1, 0.0, False), [dear, cheap], ZONES, lambda m: True, 0.5).best() is dear, "no time to fetch"
+
+
+def test_nothing_dear_is_rented_for_patient_work_even_within_a_guarantee() -> None:
+    planner = planner_of([machine("full")], job(1, pieces=4, cores=4.0, loaners=True, expected_s=5.0))
+    run_on(planner.cluster.machines["full"], Job(spec_of(9, cores=8.0, shape="daemon"), 1, 0.0, False), 0)
+    planner.place_all(1.0)
+    assert planner.inside and planner.needs
+    assert {offer.spot for offer in planner.rent(1.0)} == {True}
+    planner.blocked = {Offer("m8", zone, True): 1e9 for zone in "ab"}
+    assert planner.rent(1.0) == [], "it waits for spot machines"
+    planner.place_all(240.0)
+    assert {offer.spot for offer in planner.rent(240.0)} == {False}, "it would be late"
+
+
+def test_in_a_crowd_what_is_late_anyway_yields_to_what_is_not() -> None:
+    """Seen: a burst that no fleet could serve in time, and strict order of arrival made every job late."""
+    planner = planner_of([machine("full")], *(job(n, pieces=6) for n in range(3)))
+    planner.cluster.params.objectives = [Objective("wait", "x", 8.0), Objective("wait", "x", 60.0)]
+    late, later, fresh = planner.cluster.jobs.values()
+    late.submitted, later.submitted, fresh.submitted = 0.0, 55.0, 98.0
+    assert planner.ordered(100.0) == [fresh, later, late], "also before the one within the guarantee"
+    assert planner.ordered(113.0)[0] is later, "two seconds from its next aim"
+    later.ran = True
+    assert planner.ordered(100.0) == [fresh, late, later], "what has run keeps its place behind the guaranteed"
+    assert planner.ordered(121.0)[0] is late, "twice its longest aim"
+
+
+def test_seven_nodes_lose_four_and_go_on() -> None:
+    async def tell(world: World) -> None:
+        board, sweep = job(1, shape="daemon", pieces=4), job(2, pieces=6)
+        await world.submit(board)
+        await world.submit(sweep, 5)
+        await world.until(lambda: world.running(board) == 4, 40)
+        for index in [world.leader(), *[i for i in range(7) if i != world.leader()][:3]]:
+            world.kill(index)
+        late = job(3)
+        await world.submit(late)
+        await world.until(lambda: all(world.state.job_state(f"run-00000{n}") == "done" for n in (2, 3)), 90)
+        assert world.observer.starts["run-000001"] == 4
+
+    story(tell, 7)
+
+
+def test_hundreds_of_machines_are_fenced_a_bounded_number_at_once() -> None:
+    async def tell(world: World) -> None:
+        for number in range(200):
+            world.cloud.create(ZONES[number % 3])
+        await world.until(lambda: len([k for k in world.state.keys if k.startswith("f/machine/")]) == 200, 40)
+        flying = most = asked = 0
+        send = world.send
+
+        async def counted(source: str, addr: str, method: str, path: str, body: Any, deadline: float) -> Any:
+            nonlocal flying, most, asked
+            fences = path == "/commands" and not body["orders"]
+            flying, asked = flying + fences, asked + fences
+            most = max(most, flying)
+            try:
+                return await send(source, addr, method, path, body, deadline)
+            finally:
+                flying -= fences
+
+        world.send = counted  # type: ignore[method-assign]
+        world.kill(world.leader())
+        await world.until(lambda: any(n.leader and n.leader.ready and not n.leader.cluster.unaccounted for n in world.nodes.values()), 6)
+        assert 0 < most <= c.FENCE_AT_ONCE
+        assert asked <= 200, "one request a machine"
+
+    story(tell)
+
+
+def test_a_leader_fences_through_others_what_it_cannot_reach() -> None:
+    """Seen: a new leader apart from a zone waited 12 s for that zone's reports to be passed on."""
+
+    async def tell(world: World) -> None:
+        for zone in ZONES:
+            world.cloud.create(zone)
+        await world.until(lambda: len([k for k in world.state.keys if k.startswith("f/machine/")]) == 3, 40)
+        old = world.leader()
+        bridge = (old + 1) % 3
+        next_leader = (old + 2) % 3
+        world.nodes[bridge].leadership.yield_until = 1e9
+        far = world.workers[0].name
+        world.cut(NODES[next_leader], far, "refuse")
+        world.workers[0].node = bridge
+        world.kill(old)
+        await world.until(lambda: next_leader in world.nodes and world.nodes[next_leader].leader is not None, 6)
+        leader = world.nodes[next_leader].leader
+        await world.until(lambda: leader is not None and leader.ready and not leader.cluster.unaccounted, 2)
+        assert leader is not None and far in leader.cluster.relayed(trio.current_time())
+
+    story(tell)
+
+
+def test_a_machine_that_died_while_nobody_led_delays_older_tasks_for_seconds_only() -> None:
+    """Seen: 12 s, since the others were asked about it late, and one after the other."""
+
+    async def tell(world: World) -> None:
+        for number in range(6):
+            world.cloud.create(ZONES[number % 3])
+        await world.until(lambda: len([k for k in world.state.keys if k.startswith("f/machine/")]) == 6, 40)
+        world.kill(world.leader())
+        world.workers[0].up = False
+        world.workers[0].gone = True
+        one = job(1)
+        await world.submit(one)
+        await world.until(lambda: world.running(one) == 2, 9)
+
+    story(tell)
+
+
+class SlowState:
+    """Answers transactions at once, but the first after two seconds."""
+
+    def __init__(self) -> None:
+        self.asked = 0
+
+    async def txn(self, conditions: list[Any], writes: list[Any]) -> Outcome:
+        self.asked += 1
+        if self.asked == 1:
+            await trio.sleep(1.9)
+        return Outcome(self.asked)
+
+
+def test_one_slow_transaction_holds_up_no_other_submission() -> None:
+    async def main() -> None:
+        class Watched:
+            replica = Replica()
+
+        users = Users(settings_of(0), Watched(), SlowState(), lambda: 0.0, lambda job_id: None)  # type: ignore[arg-type]
+        users.types = [machine("m").type]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(users.create_loop)
+            nursery.start_soon(users.submit, wire_body(1))
+            await trio.sleep(0.1)
+            with trio.fail_after(0.5):
+                assert (await users.submit(wire_body(2))).status == 201
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def wire_body(number: int) -> bytes:
+    return orjson.dumps(job(number))
