--- a/pepperlatch/daemon.py
+++ b/pepperlatch/daemon.py
@@ -1,7 +1,6 @@
 """A controller node: its parts, put together, and the loops that keep them going."""
 
 import logging
-import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -65,7 +64,10 @@
 
 
 class Node:
-    def __init__(self, settings: Settings, network: Network, clock: Callable[[], float] = trio.current_time, wall: Callable[[], float] = time.time) -> None:
+    def __init__(
+        self, settings: Settings, network: Network, clock: Callable[[], float] = trio.current_time,
+        wall: Callable[[], float] = time.time, seed: int | None = None,
+    ) -> None:  # fmt: skip
         self.settings = settings
         self._network = network
         self._clock = clock
@@ -78,7 +80,7 @@
         self.replica = Replica()
         self.watched = Watched(self.state, self.replica, self._changed)
         hold_s = hold_seconds(params.workers.cancel_s, params.workers.lease_s)
-        self.leadership = Leadership(settings.node, self.state, self.replica, hold_s, clock)
+        self.leadership = Leadership(settings.node, self.state, self.replica, hold_s, clock, seed)
         self.owner = Owner(self._settle, c.TICK_S / 5)
         self.users = Users(settings, self.watched, self.state, wall, self._progress)
         self.admin = Admin(self.watched, self.state, self.view)
@@ -90,7 +92,6 @@
         self._peer_answered_at = float("-inf")
         self._stood_in: dict[str, float] = {}  # machines answered in the leader's place, and when
         self._peers_good = False
-        self._random = random.Random()
 
     # --- life -------------------------------------------------------------------------------------
 
@@ -144,7 +145,7 @@
         return Response(200 if good and self.replica.loaded else 503, {"healthy": good})
 
     def _state_good(self) -> bool:
-        return self.state.reachable() or self._clock() - self.state.good_at < c.STATE_BAD_S
+        return self.state.reachable() or self._clock() - self.state.bad_since < c.STATE_BAD_S
 
     async def _state_answers(self) -> bool:
         """For another node that gets no answers: what we got a while ago may have been before the outage."""
--- a/pepperlatch/health.py
+++ b/pepperlatch/health.py
@@ -64,6 +64,7 @@
 
     def look(self, now: float, sure: bool) -> None:
         cluster, planner = self._duty.cluster, self._duty.planner
+        planner.look_for_dark_zones(now)
         silent = self._silent(now)
         for machine in silent:
             if not machine.probing:
--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -1,9 +1,12 @@
 """One round of planning: order the jobs, place, preempt, rent, drain, return. No I/O, no clock."""
 
 import heapq
+import logging
 from collections import Counter
 from dataclasses import dataclass, field
 
+import msgspec
+
 from pepperlatch import constants as c
 from pepperlatch import draining, fleet, placement, quota, supply
 from pepperlatch.cluster import Cluster
@@ -14,6 +17,8 @@
 from pepperlatch.tuning import Tuning
 from pepperlatch.wire import RANK, JobSpec, Kind
 
+log = logging.getLogger(__name__)
+
 
 @dataclass(slots=True)
 class Planner:
@@ -22,6 +27,7 @@
     blocked: dict[Offer, float] = field(default_factory=dict)  # refused offers, until when
     pauses: dict[Offer, float] = field(default_factory=dict)
     asked: Counter[Offer] = field(default_factory=Counter)  # machines of hires on their way
+    dark: dict[str, float] = field(default_factory=dict)  # zones that are cut off, and when last seen so
     drained_at: float = 0.0
     drains_begun: int = 0
     drains_cancelled: int = 0  # rounds in which an underused machine could not be drained
@@ -119,8 +125,16 @@
         return supply.start_s(spec, self.cluster.params.objectives)
 
     def _thrifty(self, job: Job, now: float) -> bool:
-        """Work beyond a guarantee that has much time left waits for cheap room, and lets dear machines get empty."""
-        return job.spec.id not in self.inside and self._patient(job, now)
+        """Work that has much time left waits for cheap room, and lets dear machines get empty.
+
+        Not in the first seconds of work within a guarantee, which is to start at once.
+        """
+        return not (job.spec.id in self.inside and self._guarantee_open(job, now)) and self._patient(job, now)
+
+    def _guarantee_open(self, job: Job, now: float) -> bool:
+        """Whether it can still start as soon as the aim for work within a guarantee says; always, if there is none."""
+        within = [a.within_s for a in self.cluster.params.objectives if a.kind == "guarantee" and a.within_s is not None]
+        return not within or now - job.submitted + c.START_S < min(within)
 
     def _patient(self, job: Job, now: float) -> bool:
         """Whether it has much time left. Nothing dear is rented for it, be it within a guarantee: what a
@@ -259,7 +273,7 @@
     def _coming(self, machine: Machine, now: float) -> bool:
         if machine.status is Status.JOINING:
             return True
-        return machine.status is Status.BOOTING and now - machine.born < c.BOOT_SPREAD * machine.type.boot_s + c.BOOT_SLACK_S
+        return machine.zone not in self.dark and machine.status is Status.BOOTING and now - machine.born < c.BOOT_SPREAD * machine.type.boot_s + c.BOOT_SLACK_S
 
     def rent(self, now: float) -> list[Offer]:
         """What to ask the cloud for, after counting on what is already booting."""
@@ -271,6 +285,7 @@
             need.job.explain("machines are booting", now)
         needs += self._spare_need(now)
         blocked = {offer for offer, until in self.blocked.items() if until > now} | set(self.asked)
+        blocked |= {Offer(t.name, zone, spot) for t in self.cluster.types.values() for zone in self.dark for spot in (False, True)}
         chosen = fleet.choose(needs, list(self.cluster.types.values()), blocked, c.HIRE_COUNT_MOST)
         for need in needs:
             if need.count > 0 and need.job.spec.id:
@@ -278,12 +293,15 @@
         return chosen
 
     def _spare_need(self, now: float) -> list[Need]:
-        """Room for replicas that is neither there nor booting."""
+        """Room for replicas that is neither there nor booting, on machines that a replica would not pin: others are not counted."""
         if self.spare.spec is None or self.cluster.rebuilding():
             return []
-        coming = sum(room.slots(self.spare.spec) for room in self.booting_bins(now) if not room.offer.spot)
+        cheapest = self._cheapest(self.spare.spec)
+        homes = [t.name for t in self.cluster.types.values() if t.price <= c.PIN_RATIO * cheapest]
+        coming = sum(room.slots(self.spare.spec) for room in self.booting_bins(now) if not room.offer.spot and room.offer.type in homes)
         short = self.spare.wanted - self.spare.free() - coming
-        return [Need(Job(self.spare.spec, 0, now, False), short)] if short > 0 else []
+        spec = msgspec.structs.replace(self.spare.spec, types=homes)
+        return [Need(Job(spec, 0, now, False), short)] if short > 0 else []
 
     def _count_on_finishing(self, needs: list[Need], now: float) -> None:
         """What running tasks will free soon enough needs no new machine."""
@@ -306,6 +324,22 @@
         boot_s = max((kind.boot_s for kind in self.cluster.types.values()), default=0.0)
         return 1 + max(0, int((self._patience_s(job, now) - boot_s) // (job.spec.estimate_s * c.ESTIMATE_CAUTION)))
 
+    def look_for_dark_zones(self, now: float) -> None:
+        """A zone most of whose machines fell silent is cut off: what is rented there would cost and never report.
+
+        It is tried again once a machine there is heard of, or after a while.
+        """
+        for zone in self.cluster.params.zones:
+            up = [m for m in self.cluster.machines.values() if m.zone == zone and m.status is Status.UP]
+            silent = sum(1 for m in up if now - max(m.seen_at, self.cluster.started) > self.fresh_s())
+            if len(up) >= c.DARK_LEAST and silent >= c.DARK_SHARE * len(up):
+                if zone not in self.dark:
+                    log.info("zone %s is dark: %d of %d machines are silent", zone, silent, len(up))
+                self.dark[zone] = now
+            elif zone in self.dark and (len(up) > silent or now - self.dark[zone] > c.DARK_S):
+                log.info("zone %s is tried again", zone)
+                del self.dark[zone]
+
     def refused(self, offer: Offer, now: float) -> None:
         pause = min(c.NO_CAPACITY_PAUSE_MOST_S, max(c.NO_CAPACITY_PAUSE_S, self.pauses.get(offer, 0.0) * 2))
         self.pauses[offer] = pause
--- a/pepperlatch/rentals.py
+++ b/pepperlatch/rentals.py
@@ -1,6 +1,7 @@
 """What a leader has to do with the cloud: hiring, lists, prices and returns, each recorded before it is asked for."""
 
 import logging
+from collections import Counter
 
 import trio
 
@@ -23,9 +24,13 @@
         self._hire_of: dict[str, set[str]] = {}  # hire record -> its machines that are not recorded yet
 
     def rent(self, now: float) -> None:
-        chosen = self._duty.planner.rent(now)
-        for offer in set(chosen):
-            self._hire(offer, chosen.count(offer))
+        """A few calls at once, the largest first: what waits for its turn is asked for together with what comes meanwhile."""
+        free = c.HIRES_AT_ONCE - len(self._duty.planner.asked)
+        if free <= 0:
+            return
+        chosen = Counter(self._duty.planner.rent(now))
+        for offer, count in chosen.most_common(free):
+            self._hire(offer, count)
 
     def _hire(self, offer: Offer, count: int) -> None:
         """The request's name is recorded first: its machines can then never be forgotten."""
--- a/pepperlatch/state.py
+++ b/pepperlatch/state.py
@@ -50,6 +50,7 @@
         self.share(False)
         self.good_at = clock()
         self.bad_at = -1.0
+        self.bad_since = -1.0  # when the answers stopped, if they have
 
     def share(self, leads: bool) -> None:
         """The budgets are for all nodes together: one part for the leader, one for the others."""
@@ -60,6 +61,11 @@
     def reachable(self) -> bool:
         return self.good_at >= self.bad_at
 
+    def _bad(self) -> None:
+        if self.reachable():
+            self.bad_since = self._clock()
+        self.bad_at = self._clock()
+
     async def _call(self, method: str, path: str, body: Any = None, seconds: float = c.STATE_REQUEST_S, urgent: bool = False) -> tuple[int, Any]:
         wait = self._requests.wait_for(self._clock(), 1.0, urgent)
         if wait > 0:
@@ -67,14 +73,14 @@
         try:
             status, answer = await self._network.request(self._addr, method, path, body, seconds)
         except NotSent as error:
-            self.bad_at = self._clock()
+            self._bad()
             raise Away(str(error)) from None
         except Lost as error:
-            self.bad_at = self._clock()
+            self._bad()
             raise Unsure(str(error)) from None
         if status in (429, 503):
             if status == 503:
-                self.bad_at = self._clock()
+                self._bad()
             raise Away(f"{path}: {status}")
         self.good_at = self._clock()
         return status, answer
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -495,7 +495,7 @@
     # --- nodes ------------------------------------------------------------------------------------
 
     def start(self, index: int) -> None:
-        node = Node(settings_of(index, self.count), _Link(self, NODES[index]), trio.current_time, lambda: 1e9 + trio.current_time())
+        node = Node(settings_of(index, self.count), _Link(self, NODES[index]), trio.current_time, lambda: 1e9 + trio.current_time(), index)
         self.nodes[index] = node
         self.nursery.start_soon(self._run, index, node)
 
@@ -587,5 +587,8 @@
             assert world.observer.broken == []
             nursery.cancel_scope.cancel()
 
+    runner: Any = trio._core._run
+    runner._ALLOW_DETERMINISTIC_SCHEDULING = True  # else tasks that are ready together run in any order
+    runner._r.seed(1)
     clock = trio.testing.MockClock(autojump_threshold=0)
     trio.run(main, clock=clock)
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -80,6 +80,45 @@
     assert {offer.spot for offer in planner.rent(240.0)} == {False}, "it would be late"
 
 
+def test_room_for_replicas_is_rented_where_it_counts_only() -> None:
+    """Seen: five dear machines rented one after the other as spare room, none of which was counted as such."""
+    dear = wire.MachineType("m64", 64.0, 0.0, 256.0, 20.0, 1.0, 4.0, 1.0, 1.0, ["a", "b"])
+    planner = planner_of([machine("full")], job(1, shape="daemon", pieces=16, cores=4.0))
+    planner.cluster.types[dear.name] = dear
+    board = next(iter(planner.cluster.jobs.values()))
+    board.waiting.clear()
+    planner.place_all(1.0)
+    chosen = planner.rent(1.0)
+    assert chosen and {offer.type for offer in chosen} == {"m8"}
+
+
+def test_work_past_the_seconds_of_its_guarantee_lets_dear_machines_get_empty() -> None:
+    planner = planner_of([machine("dear")], job(1, pieces=2, loaners=True, expected_s=5.0))
+    planner.cluster.params.objectives.append(Objective("guarantee", None, 5.0))
+    one = next(iter(planner.cluster.jobs.values()))
+    planner.ordered(1.0)
+    assert one.spec.id in planner.inside
+    assert not planner._thrifty(one, 1.0), "it is to start at once"
+    assert planner._thrifty(one, 6.0), "that is over, and there is much time left"
+    assert not planner._thrifty(one, 240.0)
+
+
+def test_nothing_is_rented_in_a_zone_that_is_cut_off() -> None:
+    """Seen: 40 machines rented in a zone that was cut off, paid for, and never heard of."""
+    machines = [machine(f"n-{n}", "ab"[n % 2]) for n in range(8)]
+    planner = planner_of(machines, job(1, pieces=90))
+    for one in machines:
+        one.seen_at = 100.0 if one.zone == "b" else 10.0
+        one.free_cpus = 0.0
+    planner.look_for_dark_zones(100.0)
+    planner.place_all(100.0)
+    assert {offer.zone for offer in planner.rent(100.0)} == {"b"}
+    machines[0].seen_at = machines[2].seen_at = machines[4].seen_at = 101.0
+    planner.look_for_dark_zones(101.0)
+    planner.place_all(101.0)
+    assert {offer.zone for offer in planner.rent(101.0)} == {"a"}
+
+
 def test_in_a_crowd_what_is_late_anyway_yields_to_what_is_not() -> None:
     """Seen: a burst that no fleet could serve in time, and strict order of arrival made every job late."""
     planner = planner_of([machine("full")], *(job(n, pieces=6) for n in range(3)))
