--- a/pepperlatch/model.py
+++ b/pepperlatch/model.py
@@ -129,8 +129,11 @@
         self.free_gpus += spec.gpus
         self.free_gb += spec.memory_gb
 
-    def has_room(self, spec: JobSpec) -> bool:
-        return self.free_cpus >= spec.cpus - EPS and self.free_gpus >= spec.gpus - EPS and self.free_gb >= spec.memory_gb - EPS
+    def has_room(self, spec: JobSpec, tasks: int = 1) -> bool:
+        return (
+            self.free_cpus >= tasks * spec.cpus - EPS and self.free_gpus >= tasks * spec.gpus - EPS
+            and self.free_gb >= tasks * spec.memory_gb - EPS
+        )  # fmt: skip
 
     def used_share(self) -> float:
         share = 1 - self.free_cpus / self.type.cpus if self.type.cpus else 0.0
--- a/pepperlatch/placement.py
+++ b/pepperlatch/placement.py
@@ -37,9 +37,12 @@
     """Smaller is better; first of all that a task starts within `start_s`, which a long fetch prevents.
 
     Tasks that may use spot machines go there before they go where their image is: they cost a third there,
-    and leave the images on ordinary machines to replicas, which may only run on those. Replicas go where
+    and leave the images on ordinary machines to replicas, which may only run on those. Among these the
+    smallest type comes first: what is larger may be all that another job's tasks fit on. Replicas go where
     the image is, to machines that other replicas hold already (else to a cheap one: they stay long and must
-    not pin a large machine), and apart from their siblings, so that one loss costs least.
+    not pin a large machine), and apart from their siblings, so that one loss costs least. Those that must
+    fetch their image do so each on a machine of its own that keeps room for more: together they would fill
+    the machines that hold an image, and the next service with it would find no room there.
     """
     spec = job.spec
     fetches = machine.fetches() if not machine.holds_image(spec) else frozenset()
@@ -47,9 +50,15 @@
     late = image > 1 and fetch_s(machine, spec) * (1 + len(fetches)) > start_s
     kind = machine.spot != spec.spot
     if spec.kind is not Kind.SERVICE:
-        return (is_slow(machine), late, kind, image, machine.free_cpus, machine.born)
-    pins = machine.price() if not machine.holds_replicas() else 0.0
-    return (is_slow(machine), image, pins, used[machine.name], kind, machine.free_cpus, machine.born)
+        size = machine.type.cpus + machine.type.gpus
+        return (is_slow(machine), late, kind, size, image, machine.free_cpus, machine.born)
+    home = machine.holds_replicas()
+    pins = machine.price() if not home else 0.0
+    if image == 0:
+        return (is_slow(machine), image, pins, used[machine.name], kind, machine.free_cpus, machine.born)
+    wait_s = round(fetch_s(machine, spec) * (1 + len(fetches - {spec.image})), 1)
+    last = not machine.has_room(spec, 2)
+    return (is_slow(machine), 1, wait_s, used[machine.name] + (not home), pins + last * machine.price(), machine.free_cpus, machine.born)
 
 
 def fetch_s(machine: Machine, spec: JobSpec) -> float:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -11,7 +11,7 @@
 from pepperlatch import placement, wire
 from pepperlatch.cluster import Cluster
 from pepperlatch.fleet import Offer
-from pepperlatch.model import Job, Machine
+from pepperlatch.model import Job, Machine, Status
 from pepperlatch.planner import Planner
 from pepperlatch.settings import Objective
 from pepperlatch.state import Outcome
@@ -68,6 +68,26 @@
     assert placement.Candidates(Job(sweep, 1, 0.0, False), [dear, cheap], ZONES, lambda m: True, 0.5).best() is dear, "no time to fetch"
 
 
+def test_small_tasks_leave_large_machines_to_those_that_fit_nowhere_else() -> None:
+    """Seen: small alerts on the medium spot machines that hold their image, and large sweeps on dear ordinary ones."""
+    large = machine("large", spot=True)
+    small = Machine("small", wire.MachineType("m4", 4.0, 0.0, 16.0, 20.0, 1.0, 0.6, 0.2, 9.0, ["a"]), "a", True, "", Status.UP, 0.0)
+    alert = Job(spec_of(1, loaners=True), 1, 0.0, False)
+    large.used_image(alert.spec)
+    assert placement.Candidates(alert, [large, small], ZONES, lambda m: True, 12.0).best() is small
+    assert placement.Candidates(alert, [large, small], ZONES, lambda m: True, 0.5).best() is large, "no time to fetch"
+
+
+def test_replicas_that_fetch_their_image_leave_room_where_it_is_then() -> None:
+    """Seen: 42 machines held an image, all full of replicas, and 600 places free where it was not."""
+    homes = [machine(f"n-{n}") for n in range(4)]
+    for n, home in enumerate(homes):
+        run_on(home, Job(spec_of(90 + n, shape="daemon", bundle="other"), 1, 0.0, False), n)
+    planner = planner_of(homes, job(1, shape="daemon", pieces=4))
+    planner.place_all(1.0)
+    assert [len(home.attempts) for home in homes] == [2, 2, 2, 2]
+
+
 def test_nothing_dear_is_rented_for_patient_work_even_within_a_guarantee() -> None:
     planner = planner_of([machine("full")], job(1, pieces=4, cores=4.0, loaners=True, expected_s=5.0))
     run_on(planner.cluster.machines["full"], Job(spec_of(9, cores=8.0, shape="daemon"), 1, 0.0, False), 0)
