--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -137,13 +137,16 @@
         return not within or now - job.submitted + c.START_S < min(within)
 
     def _patient(self, job: Job, now: float) -> bool:
-        """Whether it has much time left. Nothing dear is rented for it, be it within a guarantee: what a
-        guarantee promises is over before a machine is up."""
+        """Whether a machine rented later would still come in time, with as much to spare.
+
+        Nothing dear is rented for such work, be it within a guarantee: what a guarantee promises is over
+        before a machine is up.
+        """
         spec = job.spec
-        if spec.kind is not Kind.ARRAY or not spec.spot or self._turns(job, now) <= 1:
+        if spec.kind is not Kind.ARRAY or not spec.spot or spec.estimate_s <= 0:
             return False
-        waited = now - job.submitted
-        return waited < c.THRIFT_SHARE * (waited + supply.slack_s(job, self.cluster.params.objectives, now))
+        boot_s = max((kind.boot_s for kind in self.cluster.types.values()), default=0.0)
+        return supply.slack_s(job, self.cluster.params.objectives, now) > c.PATIENT_BOOTS * boot_s
 
     def _cheapest(self, spec: JobSpec) -> float:
         """The lowest price of an ordinary machine that the task fits."""
@@ -373,7 +376,8 @@
     # --- draining ---------------------------------------------------------------------------------
 
     def drain(self, now: float) -> None:
-        if now - self.drained_at < self.tuning["drain_every_s"]:
+        fleet_size = max(1, len(self.cluster.machines))
+        if now - self.drained_at < self.tuning["drain_every_s"] * min(1.0, c.DRAIN_FLEET / fleet_size):
             return
         self.drained_at = now
         machines = self.usable(now)
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -139,6 +139,26 @@
     assert {offer.zone for offer in planner.rent(101.0)} == {"a"}
 
 
+def test_rounds_of_draining_keep_up_with_a_large_fleet() -> None:
+    """Seen: with 400 machines every round found one to drain, and dozens stood nearly empty meanwhile."""
+    drained = {}
+    for size in (20, 200):
+        machines = [machine(f"n-{n}") for n in range(size)]
+        one = Job(spec_of(1, cores=2.0, pieces=size), 1, 0.0, False)
+        for n, where in enumerate(machines):
+            run_on(where, one, n)
+        planner = planner_of(machines)
+        for tick in range(41):
+            for where in machines:
+                where.seen_at = tick / 2
+            planner.drained_at = planner.drained_at or -10.0
+            planner.tuning._values["drain_lost_s"] = 60.0
+            planner.drain(tick / 2)
+        drained[size] = planner.drains_begun
+    assert drained[20] == 3, "at 0, 10 and 20 s"
+    assert drained[200] == 8 + 1, "every 2.5 s"
+
+
 def test_in_a_crowd_what_is_late_anyway_yields_to_what_is_not() -> None:
     """Seen: a burst that no fleet could serve in time, and strict order of arrival made every job late."""
     planner = planner_of([machine("full")], *(job(n, pieces=6) for n in range(3)))
