--- a/pepperlatch/cluster.py
+++ b/pepperlatch/cluster.py
@@ -163,7 +163,7 @@
         if report.session > machine.session:
             self._all_gone(machine, now)
         machine.session, machine.seq, machine.addr = report.session, report.seq, report.addr
-        machine.seen_at, machine.probes = now, 0
+        machine.seen_at, machine.probes, machine.probes_unheard = now, 0, 0
         if machine.answered_at < 0:
             machine.answered_at = now
         if report.notice_s is not None and machine.notice_at is None:
--- a/pepperlatch/health.py
+++ b/pepperlatch/health.py
@@ -102,11 +102,16 @@
         return out
 
     def _given_up(self, machine: Machine, many: bool, now: float) -> bool:
-        """Silent machines are given up one by one; many at once mean that the network is at fault."""
+        """Silent machines are given up one by one; many at once mean that the network is at fault.
+
+        While no other controller can be asked, a cut looks like a dead machine: then only the end of its
+        lease decides, after which nothing runs there any more.
+        """
         if now - max(machine.seen_at, self._duty.cluster.started) > c.SILENT_LONG_S:
             return True
         fenced = machine.seen_at < 0  # two tries to fence it came before
-        return machine.probes >= (1 if fenced else c.SILENT_PROBES) and not many
+        asked = machine.probes >= (1 if fenced else c.SILENT_PROBES)
+        return not many and (asked or (machine.probes_unheard > 0 and self._duty.cluster.lease_over(machine, now)))
 
     async def _probe(self, machine: Machine) -> None:
         report: Report | None = None
@@ -122,8 +127,8 @@
         machine.probing = False
         if through_others:  # its reports are passed on, see Cluster.relayed
             machine.relay_until = self._duty.clock() + c.RELAY_STICKY_S
-        if heard or machine.seen_at >= 0:  # right after a crash of all, nobody is there to be asked yet
-            machine.probes += 1
+        machine.probes += heard
+        machine.probes_unheard += not heard
         if report is not None:
-            machine.probes = 0
+            machine.probes = machine.probes_unheard = 0
             self._on_report(report)
--- a/pepperlatch/model.py
+++ b/pepperlatch/model.py
@@ -110,6 +110,7 @@
     failed_at: float = -1.0
     pace: list[float] = field(default_factory=list)  # run time over usual run time of tasks that finished
     probes: int = 0
+    probes_unheard: int = 0  # when no other controller answered either
     probing: bool = False
     relay_until: float = float("-inf")  # only others reach it
     sending: bool = False
--- a/pepperlatch/peers.py
+++ b/pepperlatch/peers.py
@@ -65,7 +65,7 @@
         async with trio.open_nursery() as nursery:
             for peer in self._settings.peers:
                 nursery.start_soon(ask, peer)
-        return (found[0] if found else None), heard > 0
+        return (found[0] if found else None), heard > 0 or not self._settings.peers
 
     async def fence(self, addr: str, zone: str, token: int, session: int) -> Fenced:
         """Have another controller show our token to a worker; those in its zone are asked first.
--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -132,30 +132,12 @@
         return supply.start_s(spec, self.cluster.params.objectives)
 
     def _thrifty(self, job: Job, now: float) -> bool:
-        """Work that has much time left waits for cheap room, and lets dear machines get empty.
-
-        Not in the first seconds of work within a guarantee, which is to start at once.
-        """
-        return not (job.spec.id in self.inside and self._guarantee_open(job, now)) and self._patient(job, now)
-
-    def _guarantee_open(self, job: Job, now: float) -> bool:
-        """Whether it can still start as soon as the aim for work within a guarantee says; always, if there is none."""
-        within = [
-            a.within_s for a in self.cluster.params.objectives if a.kind == "guarantee" and a.within_s is not None
-        ]
-        return not within or now - job.submitted + c.START_S < min(within)
-
-    def _patient(self, job: Job, now: float) -> bool:
-        """Whether a machine rented later would still come in time, with time to spare.
-
-        Nothing dear is rented for such work, be it within a guarantee: what a guarantee promises is over
-        before a machine is up.
-        """
+        """Work beyond a guarantee that has much time left waits for cheap room, and lets dear machines get empty."""
         spec = job.spec
-        if spec.kind is not Kind.ARRAY or not spec.spot or spec.estimate_s <= 0:
+        if spec.kind is not Kind.ARRAY or not spec.spot or spec.id in self.inside or self._turns(job, now) <= 1:
             return False
-        boot_s = max((kind.boot_s for kind in self.cluster.types.values() if fits_type(spec, kind)), default=0.0)
-        return supply.slack_s(job, self.cluster.params.objectives, now) > c.PATIENT_BOOTS * boot_s
+        waited = now - job.submitted
+        return waited < c.THRIFT_SHARE * (waited + supply.slack_s(job, self.cluster.params.objectives, now))
 
     def _cheapest(self, spec: JobSpec) -> float:
         """The lowest price of an ordinary machine that the task fits."""
@@ -298,7 +280,7 @@
     def rent(self, now: float) -> list[Offer]:
         """What to ask the cloud for, after counting on what is already booting."""
         needs = [
-            Need(n.job, n.count, dict(n.spread), self._patient(n.job, now), self._turns(n.job, now)) for n in self.needs
+            Need(n.job, n.count, dict(n.spread), self._thrifty(n.job, now), self._turns(n.job, now)) for n in self.needs
         ]
         for room in self.booting_bins(now):
             room.fill(needs)
@@ -437,10 +419,10 @@
             self.cluster.stop(attempt, attempt.job.spec.save_s)
 
     def _needed(self, machine: Machine, now: float) -> bool:
-        """Whether a waiting task would go there; patient ones wait for cheaper room."""
+        """Whether a waiting task would go there; thrifty ones wait for cheaper room."""
         return any(
             machine.has_room(n.job.spec) and allowed_on(n.job.spec, machine.type.name, machine.zone, machine.spot)
-            and (machine.spot or not self._patient(n.job, now))
+            and (machine.spot or not self._thrifty(n.job, now))
             for n in self.needs
         )  # fmt: skip
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -575,3 +575,24 @@
             await trio.sleep(0.3)
 
     story(tell)
+
+
+def test_a_leader_that_can_ask_nobody_does_not_give_up_machines_behind_a_cut() -> None:
+    """Seen in an incident: apart from a zone while controllers refused each other, it returned 76 live machines."""
+
+    async def tell(world: World) -> None:
+        board = job(1, shape="daemon", pieces=3, cores=8.0)
+        await world.submit(board)
+        await world.until(lambda: world.running(board) == 3, 40)
+        await trio.sleep(3)
+        leader, far = world.leader(), world.hosts(board)[0]
+        for other in range(3):
+            if other != leader:
+                world.cut(NODES[leader], NODES[other], "refuse")
+        world.cut(NODES[leader], far.name, "refuse")
+        await trio.sleep(LEASE_S - 3)
+        assert far.name in world.cloud.machines
+        await world.until(lambda: far.name not in world.cloud.machines, CANCEL_S + 5)
+        await world.until(lambda: world.running(board) == 3, 20)
+
+    story(tell)
