--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -11,6 +11,7 @@
 from pepperlatch import placement, wire
 from pepperlatch.cluster import Cluster
 from pepperlatch.fleet import Offer
+from pepperlatch.http.server import Request
 from pepperlatch.model import Job, Machine, Status
 from pepperlatch.planner import Planner
 from pepperlatch.settings import Objective
@@ -271,6 +272,29 @@
     story(tell)
 
 
+def test_bodies_and_reports_of_the_largest_size_are_taken_and_no_larger_ones() -> None:
+    async def tell(world: World) -> None:
+        one = job(1)
+        one["note"] = "x" * (c.MAX_BODY_BYTES - len(orjson.dumps({**one, "note": ""})))
+        world.jobs["run-000001"] = one
+        node = world.nodes[world.leader()]
+        assert (await node.handle(Request("POST", "/work", orjson.dumps(one)))).status == 201
+        world.cloud.create("a")
+        await world.until(lambda: len([k for k in world.state.keys if k.startswith("f/machine/")]) > 0, 40)
+        row = {"piece": "run-009999/00000", "try": 2**40, "status": "ended", "cause": "halted"}
+        count = (c.MAX_BODY_BYTES - 400) // (len(orjson.dumps(row)) + 1)
+        beat = {**world.workers[0].report(), "tally": 10**6, "baton": node.leader.term.token if node.leader else 0}
+        beat["pieces"] = [{**row, "piece": f"run-009999/{n}"} for n in range(count)]
+        body = orjson.dumps(beat)
+        assert c.MAX_BODY_BYTES - 6000 < len(body) <= c.MAX_BODY_BYTES
+        answer = await node.handle(Request("POST", "/agent/beat", body))
+        assert answer.status == 200 and len(answer.body["orders"]) == count, "all are to be reaped"
+        beat["pieces"][0]["status"] = "dancing"
+        assert (await node.handle(Request("POST", "/agent/beat", orjson.dumps(beat)))).status == 400
+
+    story(tell)
+
+
 class SlowState:
     """Answers transactions at once, but the first after two seconds."""
 
