What cannot be taken in time is refused at once: submissions beyond the share, reports beyond the queue

Cause: a submission behind more writes than the node's share allows in two seconds waited those two seconds for its 503; the owner's queue had no bound and its length was not seen. Now both are refused at once (submissions with Retry-After), and a long queue is logged.

--- a/pepperlatch/daemon.py
+++ b/pepperlatch/daemon.py
@@ -168,7 +168,7 @@
     async def _lead_beat(self, report: Report) -> Response:
         leader = self.leader
         reply: Reply[dict[str, Any] | None] = Reply()
-        if leader is not None:
+        if leader is not None and not self.owner.full():
             self.owner.post(lambda: leader.on_beat(report, reply))
             with trio.move_on_after(c.RELAY_S):
                 answer = await reply.get()
--- a/pepperlatch/owner.py
+++ b/pepperlatch/owner.py
@@ -1,5 +1,6 @@
 """The one owner of a node's state: a queue of commands, worked through in batches."""
 
+import logging
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -7,6 +8,9 @@
 
 import trio
 
+from pepperlatch import constants as c
+
+log = logging.getLogger(__name__)
 Command = Callable[[], None]
 T = TypeVar("T")
 
@@ -24,11 +28,17 @@
         self._queue.append(command)
         self._wake.set()
 
+    def full(self) -> bool:
+        """Whether reports are to be refused; what the node asked for itself is always taken."""
+        return len(self._queue) >= c.QUEUE_MOST
+
     async def run(self) -> None:
         while True:
             with trio.move_on_after(self.tick_s):
                 await self._wake.wait()
             self._wake = trio.Event()
+            if len(self._queue) >= c.QUEUE_LONG:
+                log.info("%d commands wait", len(self._queue))
             for _ in range(len(self._queue)):
                 self._queue.popleft()()
             self.settle()
--- a/pepperlatch/state.py
+++ b/pepperlatch/state.py
@@ -58,6 +58,10 @@
         self._requests.rate = self._limits.rps * share
         self._writes.rate = self._limits.write_rps * share
 
+    def writes_within(self, seconds: float) -> int:
+        """How many puts this node's share allows within that time."""
+        return max(1, int(self._writes.rate * (seconds + self._writes.burst_s)))
+
     def reachable(self) -> bool:
         return self.good_at >= self.bad_at
 
--- a/pepperlatch/users.py
+++ b/pepperlatch/users.py
@@ -177,6 +177,8 @@
         return Response(200, self._describe(job_id, entry)) if entry is not None else None
 
     async def _create(self, spec: JobSpec) -> Response:
+        if len(self._queue) >= self._state.writes_within(c.SUBMIT_WAIT_S):  # its turn would not come in time
+            return later()
         submission = self._queue.setdefault(spec.id, _Submission(spec))  # the same id twice in flight: one conflicts
         self._wake.set()
         with trio.move_on_after(c.SUBMIT_WAIT_S):
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -13,6 +13,7 @@
 from pepperlatch.fleet import Offer
 from pepperlatch.http.server import Request
 from pepperlatch.model import Job, Machine, Status
+from pepperlatch.owner import Owner
 from pepperlatch.planner import Planner
 from pepperlatch.settings import Objective
 from pepperlatch.state import Outcome
@@ -295,12 +296,42 @@
     story(tell)
 
 
+def test_what_cannot_be_taken_in_time_is_answered_at_once() -> None:
+    async def main() -> None:
+        class Watched:
+            replica = Replica()
+
+        state = SlowState()
+        users = Users(settings_of(0), Watched(), state, lambda: 0.0, lambda job_id: None)  # type: ignore[arg-type]
+        users.types = [machine("m").type]
+        async with trio.open_nursery() as nursery:
+            for number in range(state.share):
+                nursery.start_soon(users.submit, wire_body(number))
+            await trio.sleep(0.1)
+            with trio.fail_after(0.05):
+                answer = await users.submit(wire_body(900))
+            assert answer.status == 503 and "Retry-After" in answer.headers
+            nursery.cancel_scope.cancel()
+        owner = Owner(lambda: None, 0.1)
+        for _ in range(c.QUEUE_MOST):
+            assert not owner.full()
+            owner.post(lambda: None)
+        assert owner.full()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 class SlowState:
     """Answers transactions at once, but the first after two seconds."""
 
+    share = 5
+
     def __init__(self) -> None:
         self.asked = 0
 
+    def writes_within(self, seconds: float) -> int:
+        return self.share
+
     async def txn(self, conditions: list[Any], writes: list[Any]) -> Outcome:
         self.asked += 1
         if self.asked == 1:
