--- a/pepperlatch/constants.py
+++ b/pepperlatch/constants.py
@@ -120,4 +120,5 @@
 PREEMPT_PAUSE_S: Final = 4.0  # s; a job that had others stopped and still found no place must not go on stopping
 HEALTH_EVERY_S: Final = 0.7  # s; the balancer asks about once a second
 STATE_AWAY_S: Final = 2.5  # s; watches answer every 2 s, so the state service is away after this
+STATE_FRESH_S: Final = 0.5  # s; an answer as old says that the service is there now; also the patience for a new one
 STATE_BAD_S: Final = 1.2  # s; without a good answer for this long the state service counts as away
--- a/pepperlatch/daemon.py
+++ b/pepperlatch/daemon.py
@@ -146,6 +146,10 @@
     def _state_good(self) -> bool:
         return self.state.reachable() or self._clock() - self.state.good_at < c.STATE_BAD_S
 
+    async def _state_answers(self) -> bool:
+        """For another node that gets no answers: what we got a while ago may have been before the outage."""
+        return self._clock() - self.state.good_at < c.STATE_FRESH_S or await self.state.answers()
+
     async def _beat(self, body: bytes) -> Response:
         try:
             report = wire.convert(orjson.loads(body), Report)
@@ -244,7 +248,7 @@
         if request.path == PEER_BAR and request.method == "POST":
             return self._on_bar(request.body)
         if request.path == PEER_HEALTH:
-            return Response(200, {"state": self._state_good() and self.replica.loaded})
+            return Response(200, {"state": self.replica.loaded and await self._state_answers()})
         return await self.admin.handle(request)
 
     def _on_contact(self, body: bytes) -> Response:
@@ -336,7 +340,7 @@
 
     async def _peer_good(self, peer: Peer) -> bool:
         try:
-            status, answer = await self._network.request(peer.addr, "GET", PEER_HEALTH, None, c.PROBE_S / 2)
+            status, answer = await self._network.request(peer.addr, "GET", PEER_HEALTH, None, c.PROBE_S)
             return status == 200 and bool(answer.get("state"))
         except (NotSent, Lost, AttributeError):
             return False
--- /dev/null
+++ b/pepperlatch/duty.py
@@ -0,0 +1,34 @@
+"""What the parts of a leader share for one term."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+
+from pepperlatch.cluster import Cluster
+from pepperlatch.leadership import Term
+from pepperlatch.owner import Owner
+from pepperlatch.planner import Planner
+from pepperlatch.settings import Settings
+from pepperlatch.store import Replica
+from pepperlatch.writer import Writer
+
+Clock = Callable[[], float]
+
+
+@dataclass(slots=True)
+class Duty:
+    settings: Settings
+    term: Term
+    replica: Replica
+    owner: Owner
+    clock: Clock
+    cluster: Cluster
+    planner: Planner
+    writer: Writer
+    nursery: trio.Nursery | None = field(default=None)
+
+    def spawn(self, task: Callable[..., Any], *args: Any) -> None:
+        if self.nursery is not None and not self.term.over:
+            self.nursery.start_soon(task, *args)
--- /dev/null
+++ b/pepperlatch/health.py
@@ -0,0 +1,126 @@
+"""Machines that do not answer: fenced after taking over, asked about when silent, given up in the end."""
+
+import contextlib
+from collections.abc import Callable
+
+import trio
+
+from pepperlatch import constants as c
+from pepperlatch import fleet
+from pepperlatch.cluster import SILENT
+from pepperlatch.duty import Duty
+from pepperlatch.http.client import Lost, NotSent
+from pepperlatch.model import Machine, Status
+from pepperlatch.peers import Peers
+from pepperlatch.wire import Report
+from pepperlatch.workers import WorkerClient
+
+
+class Health:
+    def __init__(self, duty: Duty, workers: WorkerClient, peers: Peers, on_report: Callable[[Report], None]) -> None:
+        self._duty = duty
+        self._workers = workers
+        self._peers = peers
+        self._on_report = on_report
+        self._fencing = trio.CapacityLimiter(c.FENCE_AT_ONCE)
+
+    # --- fencing ----------------------------------------------------------------------------------
+
+    async def fence(self, machine: Machine) -> None:
+        """Show the machine our token, so that no earlier leader can command it any more.
+
+        A bounded number at once: hundreds together would miss their deadlines on our share of a core, be
+        tried again, and keep the leader from its lease. What does not answer goes to the end of the line.
+        """
+        while not self._duty.term.over:
+            async with self._fencing:
+                if machine.name not in self._duty.cluster.unaccounted or self._duty.term.over:
+                    return
+                with contextlib.suppress(NotSent, Lost):
+                    executed, report = await self._show_token(machine, max(1, machine.session))
+                    if not executed and report.session != max(1, machine.session):
+                        executed, _ = await self._show_token(machine, report.session)
+                    if executed:
+                        return
+            await trio.sleep(c.FENCE_PAUSE_S)
+
+    async def _show_token(self, machine: Machine, session: int) -> tuple[bool, Report]:
+        """Directly, or through another controller if a cut lies between: its reports are passed on then."""
+        through_others = False
+        try:
+            executed, report = await self._workers.command(machine.addr, self._duty.term.token, session, [], c.FENCE_TRY_S)
+        except (NotSent, Lost):
+            fenced = await self._peers.fence(machine.addr, machine.zone, self._duty.term.token, session)
+            executed, report, through_others = fenced.executed, fenced.report, True
+        self._duty.owner.post(lambda: self._fenced(machine, report, through_others))
+        return executed, report
+
+    def _fenced(self, machine: Machine, report: Report, through_others: bool) -> None:
+        if through_others:
+            machine.relay_until = self._duty.clock() + c.RELAY_STICKY_S
+        self._on_report(report)
+
+    # --- silence ----------------------------------------------------------------------------------
+
+    def look(self, now: float, sure: bool) -> None:
+        cluster, planner = self._duty.cluster, self._duty.planner
+        silent = self._silent(now)
+        for machine in silent:
+            if not machine.probing:
+                machine.probing = True
+                self._duty.spawn(self._probe, machine)
+        many = len(silent) > max(1, c.SILENT_MANY_SHARE * len(cluster.machines))
+        for machine in cluster.machines.values():
+            overdue = machine.status is Status.BOOTING and now - machine.born > fleet.patience_s(machine.type)
+            if overdue:
+                cluster.release(machine, "never came up")
+            elif machine.status is Status.UP and sure and self._given_up(machine, many, now):
+                cluster.release(machine, SILENT)
+            if any(not a.wanted for a in machine.attempts.values()):
+                cluster.touched.add(machine)
+        if sure and not cluster.rebuilding():
+            for machine in planner.idle(now):
+                cluster.release(machine, machine.draining or ("quarantined" if machine.quarantined else "idle"))
+        planner.drain(now)
+        if planner.needs or any(j.waiting for j in cluster.jobs.values()):
+            cluster.dirty = True
+
+    def _silent(self, now: float) -> list[Machine]:
+        """Not heard of for long. Right after taking over, fencing has just asked every machine: those are silent sooner."""
+        cluster, report_s = self._duty.cluster, self._duty.settings.params.workers.report_s
+        out = []
+        for machine in cluster.machines.values():
+            if machine.status is not Status.UP:
+                continue
+            fenced = machine.seen_at < 0 and machine.name in cluster.unaccounted
+            patience_s = c.FENCE_SILENT_S if fenced else c.SILENT_REPORTS * report_s
+            if now - max(machine.seen_at, cluster.started) > patience_s:
+                out.append(machine)
+        return out
+
+    def _given_up(self, machine: Machine, many: bool, now: float) -> bool:
+        """Silent machines are given up one by one; many at once mean that the network is at fault."""
+        if now - max(machine.seen_at, self._duty.cluster.started) > c.SILENT_LONG_S:
+            return True
+        fenced = machine.seen_at < 0  # two tries to fence it came before
+        return machine.probes >= (1 if fenced else c.SILENT_PROBES) and not many
+
+    async def _probe(self, machine: Machine) -> None:
+        report: Report | None = None
+        with contextlib.suppress(NotSent, Lost):
+            report = await self._workers.inspect(machine.addr)
+        through_others, heard = False, True
+        if report is None and (machine.probes + 1 >= c.SILENT_PROBES or machine.seen_at < 0):
+            report, heard = await self._peers.inspect(machine.addr)
+            through_others = report is not None
+        self._duty.owner.post(lambda: self._probed(machine, report, through_others, heard))
+
+    def _probed(self, machine: Machine, report: Report | None, through_others: bool, heard: bool) -> None:
+        machine.probing = False
+        if through_others:  # its reports are passed on, see Cluster.relayed
+            machine.relay_until = self._duty.clock() + c.RELAY_STICKY_S
+        if heard or machine.seen_at >= 0:  # right after a crash of all, nobody is there to be asked yet
+            machine.probes += 1
+        if report is not None:
+            machine.probes = 0
+            self._on_report(report)
--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -321,17 +321,21 @@
     def idle(self, now: float) -> list[Machine]:
         """Machines without tasks that cost more than they may save."""
         wanted = bool(self.needs)
+        idle = [m for m in self.cluster.machines.values() if m.status is Status.UP and not m.attempts and m.idle_since is not None]
         out = []
-        for machine in self.cluster.machines.values():
-            if machine.status is not Status.UP or machine.attempts or machine.idle_since is None:
-                continue
-            if self.spare.needs(machine) and not machine.quarantined and machine.notice_at is None:
+        for machine in sorted(idle, key=self.spare.worth):
+            broken = machine.quarantined or machine.notice_at is not None
+            if not broken and self.spare.needs(machine):
                 continue
-            useless = machine.quarantined or machine.notice_at is not None or machine.draining is not None
-            if useless or (not wanted and now - machine.idle_since >= self.tuning["idle_s"] and now - machine.born >= c.MIN_CHARGE_S - c.CHARGE_SLACK_S):
+            if broken or machine.draining is not None or (not wanted and self._idle_long(machine, now)):
+                self.spare.drop(machine)
                 out.append(machine)
         return out
 
+    def _idle_long(self, machine: Machine, now: float) -> bool:
+        since = machine.idle_since if machine.idle_since is not None else now
+        return now - since >= self.tuning["idle_s"] and now - machine.born >= c.MIN_CHARGE_S - c.CHARGE_SLACK_S
+
     # --- draining ---------------------------------------------------------------------------------
 
     def drain(self, now: float) -> None:
--- /dev/null
+++ b/pepperlatch/records.py
@@ -0,0 +1,90 @@
+"""What a leader keeps in the state service besides hires: machines, and which tasks are done."""
+
+import logging
+from collections.abc import Callable
+
+from pepperlatch import constants as c
+from pepperlatch import store, wire
+from pepperlatch.duty import Duty
+from pepperlatch.model import Job, Machine
+from pepperlatch.wire import JobState
+from pepperlatch.writer import Write
+
+log = logging.getLogger(__name__)
+
+
+class Records:
+    def __init__(self, duty: Duty, on_recorded: Callable[[str], None]) -> None:
+        self._duty = duty
+        self._on_recorded = on_recorded
+        self._persist_at = 0.0
+
+    def record(self, now: float) -> None:
+        for machine in self._duty.cluster.to_record:
+            record = store.MachineRecord(machine.addr, machine.type.name, machine.zone, machine.spot, machine.draining)
+            self._duty.writer.add(Write([wire.put(store.MACHINE + machine.name, wire.to_plain(record))], lambda ok, m=machine: self._recorded(m, ok)))  # type: ignore[misc]
+        self._duty.cluster.to_record.clear()
+
+    def _recorded(self, machine: Machine, applied: bool) -> None:
+        self._duty.owner.post(lambda: self._now_recorded(machine.name))
+
+    def _now_recorded(self, name: str) -> None:
+        self._duty.cluster.recorded(name, self._duty.clock())
+        self._on_recorded(name)
+
+    def persist(self, now: float) -> None:
+        if not self._duty.cluster.unsaved:
+            return
+        partly = now - self._persist_at >= c.PERSIST_GAP_S
+        for job_id in list(self._duty.cluster.unsaved):
+            job = self._duty.cluster.jobs.get(job_id)
+            if job is None or job.over:
+                self._duty.cluster.unsaved.discard(job_id)
+            elif job.finishing:
+                continue
+            elif len(job.done) == job.spec.tasks:
+                self._finish(job)
+            elif partly and len(job.saved) < len(job.done):
+                self._persist_at = now
+                self._save_tasks(job)
+
+    def _finish(self, job: Job) -> None:
+        """The job is over; nobody is told before the state service holds that."""
+        job_id = job.spec.id
+        job.finishing = True
+        record = store.JobRecord(JobState.DONE.value, tasks=job.spec.tasks)
+        changes = [wire.put(store.JOB + job_id, wire.to_plain(record))]
+        changes += [wire.delete(store.done_key(job_id, chunk)) for chunk in self._duty.replica.done.get(job_id, {})]
+
+        def done(applied: bool) -> None:
+            log.info("job %s done%s", job_id, "" if applied else ", but it was changed meanwhile")
+            job.finishing = False
+
+        self._duty.writer.add(Write(changes, done, [wire.when(store.JOB + job_id, job.version)]))
+        self._duty.cluster.unsaved.discard(job_id)
+
+    def _save_tasks(self, job: Job) -> None:
+        """Each chunk is conditional on its version, so that a late older write cannot undo a newer."""
+        job_id = job.spec.id
+        job.finishing = True
+        tasks = set(job.done)
+        chunks = {task // c.BITMAP_CHUNK_TASKS for task in tasks - job.saved}
+        held = self._duty.replica.done.get(job_id, {})
+        when = [wire.when(store.done_key(job_id, n), held[n][1] if n in held else 0) for n in chunks]
+        changes = [wire.put(store.done_key(job_id, n), store.bitmap(tasks, n)) for n in chunks]
+
+        def done(applied: bool) -> None:
+            self._duty.owner.post(lambda: self._saved(job, tasks if applied else set()))
+
+        self._duty.writer.add(Write(changes, done, when))
+
+    def _saved(self, job: Job, tasks: set[int]) -> None:
+        job.finishing = False
+        for chunk, (bits, _) in self._duty.replica.done.get(job.spec.id, {}).items():
+            tasks |= store.done_tasks(bits, chunk)
+        job.saved |= tasks
+        job.done |= tasks
+        if len(job.saved) < len(job.done) or len(job.done) == job.spec.tasks:
+            self._duty.cluster.unsaved.add(job.spec.id)
+        else:
+            self._duty.cluster.unsaved.discard(job.spec.id)
--- a/pepperlatch/state.py
+++ b/pepperlatch/state.py
@@ -79,9 +79,13 @@
         self.good_at = self._clock()
         return status, answer
 
-    async def get(self, key: str) -> wire.KeyValue | None:
-        status, answer = await self._call("GET", f"{wire.KEYS}/{key}")
-        return _checked(answer, wire.KeyValue) if status == 200 else None
+    async def answers(self) -> bool:
+        """Whether the service answers this node right now."""
+        try:
+            await self._call("GET", f"{wire.KEYS}/ping", None, c.STATE_FRESH_S, urgent=True)
+            return True
+        except (Away, Unsure):
+            return False
 
     async def read_all(self, prefix: str) -> tuple[int, list[wire.KeyValue]]:
         """All pairs below a prefix, with the revision of the first page."""
--- a/pepperlatch/supply.py
+++ b/pepperlatch/supply.py
@@ -1,6 +1,7 @@
 """Room that will come by itself, and room that is kept free. No I/O, no clock."""
 
 import math
+import statistics
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -91,6 +92,7 @@
 
     spec: JobSpec | None = None  # the largest replica there is, as a job that nobody submitted
     wanted: int = 0
+    usual: int = 0  # replicas of a usual service
     _fetched_at: dict[str, float] = field(default_factory=dict)  # image -> GB a second that would be soon enough
     _slots: dict[Machine, int] = field(default_factory=dict)
     _total: int = 0
@@ -103,6 +105,7 @@
         most = max((s.tasks for s in replicas), default=0)
         self.spec = None if largest is None else msgspec.structs.replace(largest, id="", one_zone=False, spread=False, tasks=most, spot=False)
         self.wanted = math.ceil(jobs * most)
+        self.usual = min(self.wanted, int(statistics.median(s.tasks for s in replicas))) if replicas else 0
         self._fetched_at = {}
         for spec in replicas:
             rate = spec.image_gb * c.FETCH_SPREAD / max(start_s(spec), EPS)
@@ -142,8 +145,22 @@
         return spec.kind is not Kind.SERVICE and machine in self._slots
 
     def needs(self, machine: Machine) -> bool:
-        """Whether room would be short without the machine."""
-        return machine in self._slots and self.free() - self._slots[machine] < self.wanted
+        """Whether room would be short without the machine: in all, or for a usual service where a slow image is."""
+        slots = self._slots.get(machine)
+        if slots is None:
+            return False
+        return self._total - slots < self.wanted or any(self._holding[image] - slots < self.usual for image in self._kept(machine))
+
+    def worth(self, machine: Machine) -> int:
+        """How many slow images its room serves."""
+        return len(self._kept(machine))
+
+    def drop(self, machine: Machine) -> None:
+        """The machine is returned; the next one is judged without it."""
+        slots = self._slots.pop(machine, 0)
+        self._total -= slots
+        for image in self._kept(machine):
+            self._holding[image] -= slots
 
     def allows(self, spec: JobSpec, machine: Machine) -> bool:
         """Whether a task may go there: replicas always, others only if enough room stays."""
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -93,6 +93,23 @@
     assert planner.ordered(121.0)[0] is late, "twice its longest aim"
 
 
+def test_idle_machines_are_returned_one_by_one_the_poorest_first() -> None:
+    """Seen: all idle machines were judged against the same sum, returned together, and rented again."""
+    idle = [machine(f"n-{n}") for n in range(4)]
+    planner = planner_of([*idle, machine("busy")], job(1, shape="daemon", pieces=5, cores=4.0, pull_gb=9.0))
+    planner.cluster.params.objectives = [Objective("wait", "x", 2.0)]
+    board = next(iter(planner.cluster.jobs.values()))
+    board.waiting.clear()
+    for one in idle:
+        one.idle_since = 0.0
+    idle[0].used_image(board.spec)
+    run_on(planner.cluster.machines["busy"], Job(spec_of(9, cores=8.0), 1, 0.0, False), 0)
+    for one in planner.cluster.machines.values():
+        one.seen_at = 100.0
+    planner.place_all(100.0)
+    assert planner.idle(100.0) == [idle[1]], "five places are wanted, and those where the image is"
+
+
 def test_seven_nodes_lose_four_and_go_on() -> None:
     async def tell(world: World) -> None:
         board, sweep = job(1, shape="daemon", pieces=4), job(2, pieces=6)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -556,3 +556,18 @@
         assert (await world.send("operator", "10.0.0.0:1", "GET", "/admin/settings", None, 2.0))[0] == 404
 
     story(tell)
+
+
+def test_an_outage_makes_no_node_unhealthy_not_even_those_that_notice_first() -> None:
+    """Seen: quiet nodes still called the service good, so busy ones answered 503 and the balancer left them for long."""
+
+    async def tell(world: World) -> None:
+        await world.submit(job(1))
+        await trio.sleep(5)
+        world.state.out = True
+        for _ in range(20):
+            await world.ask(0, "GET", "/work/run-000001")
+            assert (await world.ask(0, "GET", "/healthz"))[0] == 200
+            await trio.sleep(0.3)
+
+    story(tell)
