--- a/pepperlatch/admin.py
+++ b/pepperlatch/admin.py
@@ -37,7 +37,14 @@
         stored, version = self._watched.replica.tuning
         now = Tuning(stored).values()
         fields = {
-            name: {"value": now[name], "default": k.default, "low": k.low, "high": k.high, "unit": k.unit, "reason": k.reason}
+            name: {
+                "value": now[name],
+                "default": k.default,
+                "low": k.low,
+                "high": k.high,
+                "unit": k.unit,
+                "reason": k.reason,
+            }
             for name, k in KNOBS.items()
         }
         return {"version": version, "settings": fields}
@@ -59,7 +66,9 @@
         stored, current = self._watched.replica.tuning
         if version != current:
             return Response(409, {"error": "stale version", "version": current})
-        outcome = await self._state.txn([wire.when(store.TUNING, current)], [wire.put(store.TUNING, {**stored, **values})])
+        outcome = await self._state.txn(
+            [wire.when(store.TUNING, current)], [wire.put(store.TUNING, {**stored, **values})]
+        )
         if not outcome.applied:
             return Response(409, {"error": "stale version"})
         await self._watched.sync()
--- a/pepperlatch/cli.py
+++ b/pepperlatch/cli.py
@@ -40,7 +40,9 @@
     run.add_argument("--config", required=True, metavar="FILE", help="settings file (TOML)")
     for name, text in REMOTE.items():
         command = commands.add_parser(name, help=text)
-        command.add_argument("--node", required=True, metavar="HOST:PORT", help="address of a controller (for admin: its own listener)")
+        command.add_argument(
+            "--node", required=True, metavar="HOST:PORT", help="address of a controller (for admin: its own listener)"
+        )
         if name == "admin":
             command.add_argument("what", choices=["settings", "view", "set"])
             command.add_argument("values", nargs="*", metavar="NAME=VALUE")
--- a/pepperlatch/cloud.py
+++ b/pepperlatch/cloud.py
@@ -50,7 +50,9 @@
             raise CloudTrouble(f"unexpected machine types: {error}") from None
 
     async def hire(self, request: str, type_name: str, zone: str, spot: bool, count: int) -> list[str]:
-        return wire.hired(await self._call("POST", wire.MACHINES, wire.hire_body(request, type_name, zone, spot, count)))
+        return wire.hired(
+            await self._call("POST", wire.MACHINES, wire.hire_body(request, type_name, zone, spot, count))
+        )
 
     async def release(self, names: list[str]) -> None:
         await self._call("POST", wire.RELEASE, wire.release_body(names))
--- a/pepperlatch/cluster.py
+++ b/pepperlatch/cluster.py
@@ -279,7 +279,9 @@
         parts = split_task(task.task)
         job = self.jobs.get(parts[0]) if parts else None
         if attempt is not None:
-            log.info("%s try %d on %s ended: %s", task.task, task.attempt, machine.name, task.why.value if task.why else "")
+            log.info(
+                "%s try %d on %s ended: %s", task.task, task.attempt, machine.name, task.why.value if task.why else ""
+            )
             self._remove(attempt, now)
         if parts and job is not None and task.why is Cause.DONE:
             self._finished(job, parts[1], attempt, now)
--- a/pepperlatch/constants.py
+++ b/pepperlatch/constants.py
@@ -43,6 +43,7 @@
 LEADER_LEASE_MS: Final = 2400  # ms; a dead leader is replaced after this; six times a slow answer
 LEADER_TOUCH_S: Final = 0.5  # s; four tries fit into one lease
 ELECTION_JITTER_S: Final = 0.15  # s; keeps candidates from asking at the same instant
+SURE_MARGIN_S: Final = 0.1  # s; from deciding on something final to its sending
 HOLD_MARGIN_S: Final = 1.0  # s; kept free between the end of a held lease and the cancel bound
 CLOCK_DRIFT: Final = 0.001  # share; twice the protocol's 0.05 %, for two clocks drifting apart
 HANDOVER_REPORTS: Final = 1.5  # report intervals without a word from anyone before a leader hands over
@@ -113,7 +114,6 @@
 PIN_RATIO: Final = 2.5  # times the cheapest machine that fits; a single replica must not keep a dearer one
 PIN_WAIT_S: Final = 45.0  # s; then a new replica goes there all the same: about a slow type's boot and fetch
 FETCH_SPREAD: Final = 1.33  # times; an image's fetch may take a third longer than the type's rate says
-DRAIN_FLEET: Final = 50  # machines; above, rounds of draining come faster in proportion: each empties one machine only
 EMPTYING_SHARE: Final = 0.4  # share in use by replicas below which an ordinary machine may soon be empty
 START_S: Final = 0.5  # s; from planning a launch to the task's start where the image is
 LOST_AIMS_TIMES: Final = 2.0  # times its longest aim; a job that waited longer goes first, or a crowd could starve it
@@ -126,4 +126,6 @@
 HEALTH_EVERY_S: Final = 0.7  # s; the balancer asks about once a second
 STATE_AWAY_S: Final = 2.5  # s; watches answer every 2 s, so the state service is away after this
 STATE_FRESH_S: Final = 0.5  # s; an answer as old says that the service is there now; also the patience for a new one
-STATE_BAD_S: Final = 1.2  # s; without a good answer for this long the state service counts as away; longer than STATE_FRESH_S
+STATE_BAD_S: Final = (
+    1.2  # s; without a good answer for this long the state service counts as away; longer than STATE_FRESH_S
+)
--- a/pepperlatch/daemon.py
+++ b/pepperlatch/daemon.py
@@ -192,7 +192,9 @@
         peer = self._peer(leader)
         if peer is not None:
             try:
-                status, answer = await self._network.request(peer.addr, "POST", PEER_BEAT, orjson.loads(body), c.RELAY_S)
+                status, answer = await self._network.request(
+                    peer.addr, "POST", PEER_BEAT, orjson.loads(body), c.RELAY_S
+                )
                 if status == 200:
                     return Response(200, answer)
             except (NotSent, Lost):
@@ -262,10 +264,17 @@
         now = self._clock()
         leader.cluster.answered_peer(asked.node, now)
         jobs = leader.cluster.jobs.values()
-        return Response(200, {j.spec.id: [j.running(), len(j.done), j.reason, round(now - j.reason_since, 1)] for j in jobs if not j.over})
+        return Response(
+            200,
+            {
+                j.spec.id: [j.running(), len(j.done), j.reason, round(now - j.reason_since, 1)]
+                for j in jobs
+                if not j.over
+            },
+        )
 
     def _on_bar(self, body: bytes) -> Response:
-        """The leader is in touch: no standing in for a while. It is told for which machines we did, and how long ago."""
+        """The leader is in touch: no standing in for a while. It is told for which machines we did, how long ago."""
         message = _message(body)
         if message is None:
             return Response(400, {"error": "wanted: node and token"})
@@ -321,7 +330,9 @@
             until = sent + c.STAND_IN_BAR_S - c.STAND_IN_SLACK_S
             self.owner.post(lambda: leader.cluster.on_promise(peer.node, answer, until, self._clock()))
 
-    async def _ask_peer(self, peer: Peer, path: str, token: int, relay: list[str] | None = None) -> dict[str, Any] | None:
+    async def _ask_peer(
+        self, peer: Peer, path: str, token: int, relay: list[str] | None = None
+    ) -> dict[str, Any] | None:
         try:
             body = {"node": self.settings.node, "token": token, "relay": relay or []}
             status, answer = await self._network.request(peer.addr, "POST", path, body, c.PROBE_S)
@@ -359,7 +370,11 @@
     def view(self) -> dict[str, Any]:
         """For operators: who leads, and if it is this node, machines, drains and teams."""
         held = self.replica.leader
-        answer: dict[str, Any] = {"node": self.settings.node, "leader": held[0] if held else None, "token": held[1] if held else None}
+        answer: dict[str, Any] = {
+            "node": self.settings.node,
+            "leader": held[0] if held else None,
+            "token": held[1] if held else None,
+        }
         if self.leader is None:
             return answer
         cluster, planner = self.leader.cluster, self.leader.planner
@@ -375,7 +390,8 @@
         answer["drains"] = {"begun": planner.drains_begun, "cancelled": planner.drains_cancelled}
         answer["teams"] = [
             {
-                "name": t.name, "cpus": cluster.quota.of(t.name).cpus, "cpus_guaranteed": t.cpus, "cpus_limit": t.cpus_max,
+                "name": t.name,
+                "cpus": cluster.quota.of(t.name).cpus, "cpus_guaranteed": t.cpus, "cpus_limit": t.cpus_max,
                 "gpus": cluster.quota.of(t.name).gpus, "gpus_guaranteed": t.gpus, "gpus_limit": t.gpus_max,
             }
             for t in self.settings.params.teams
@@ -389,7 +405,10 @@
     network = HttpNetwork(limit - accepted - 20)
     node = Node(settings, network)
     async with trio.open_nursery() as nursery:
-        for handler, address, most in ((node.handle, settings.listen, accepted * 4 // 5), (node.handle_peer, settings.peer_listen, accepted // 5)):
+        for handler, address, most in (
+            (node.handle, settings.listen, accepted * 4 // 5),
+            (node.handle_peer, settings.peer_listen, accepted // 5),
+        ):
             host, port = split_address(address)
             await nursery.start(Server(handler, most).serve, host, port)
         nursery.start_soon(node.run)
--- a/pepperlatch/draining.py
+++ b/pepperlatch/draining.py
@@ -80,7 +80,12 @@
 
 
 def choose(
-    machines: list[Machine], threshold: float, age_s: float, lost_s: float, now: float, needed: Callable[[Machine], bool]
+    machines: list[Machine],
+    threshold: float,
+    age_s: float,
+    lost_s: float,
+    now: float,
+    needed: Callable[[Machine], bool],
 ) -> Drain | None:
     """At most one drain a round: the first underused machine that nobody waits for and that empties whole."""
     busy = [m for m in machines if m.attempts]
--- a/pepperlatch/fleet.py
+++ b/pepperlatch/fleet.py
@@ -45,7 +45,11 @@
     def take(self, need: Need) -> tuple[int, int]:
         """Use room for as many of the needed tasks as possible: their count, and how many at once."""
         spec = need.job.spec
-        if need.count <= 0 or (need.spot_only and not self.offer.spot) or not allowed_on(spec, self.offer.type, self.offer.zone, self.offer.spot):
+        if (
+            need.count <= 0
+            or (need.spot_only and not self.offer.spot)
+            or not allowed_on(spec, self.offer.type, self.offer.zone, self.offer.spot)
+        ):
             return 0, 0
         count = min(need.count, self.slots(spec) * need.turns, zone_room(need, self.offer.zone))
         if count <= 0:
--- a/pepperlatch/health.py
+++ b/pepperlatch/health.py
@@ -48,7 +48,9 @@
         """Directly, or through another controller if a cut lies between: its reports are passed on then."""
         through_others = False
         try:
-            executed, report = await self._workers.command(machine.addr, self._duty.term.token, session, [], c.FENCE_TRY_S)
+            executed, report = await self._workers.command(
+                machine.addr, self._duty.term.token, session, [], c.FENCE_TRY_S
+            )
         except (NotSent, Lost):
             fenced = await self._peers.fence(machine.addr, machine.zone, self._duty.term.token, session)
             executed, report, through_others = fenced.executed, fenced.report, True
@@ -87,7 +89,7 @@
             cluster.dirty = True
 
     def _silent(self, now: float) -> list[Machine]:
-        """Not heard of for long. Right after taking over, fencing has just asked every machine: those are silent sooner."""
+        """Not heard of for long; sooner right after taking over, for fencing has just asked every machine."""
         cluster, report_s = self._duty.cluster, self._duty.settings.params.workers.report_s
         out = []
         for machine in cluster.machines.values():
--- a/pepperlatch/http/client.py
+++ b/pepperlatch/http/client.py
@@ -22,7 +22,9 @@
 class Network(Protocol):
     """What the protocol clients need of a network; the tests bring one in memory."""
 
-    async def request(self, addr: str, method: str, path: str, body: Any = None, deadline_s: float = 2.0) -> tuple[int, Any]: ...
+    async def request(
+        self, addr: str, method: str, path: str, body: Any = None, deadline_s: float = 2.0
+    ) -> tuple[int, Any]: ...
 
 
 @dataclass(slots=True)
@@ -40,7 +42,9 @@
     _idle: dict[str, list[_Link]] = field(default_factory=dict)
     _open: int = 0
 
-    async def request(self, addr: str, method: str, path: str, body: Any = None, deadline_s: float = 2.0) -> tuple[int, Any]:
+    async def request(
+        self, addr: str, method: str, path: str, body: Any = None, deadline_s: float = 2.0
+    ) -> tuple[int, Any]:
         payload = b"" if body is None else orjson.dumps(body)
         started = trio.current_time()
         link = await self._link(addr, min(c.CONNECT_S, deadline_s))
@@ -50,7 +54,13 @@
                 status, data = await self._exchange(link, addr, method, path, payload)
                 kept = self._keep(addr, link)
             return status, (orjson.loads(data) if data else None)
-        except (trio.TooSlowError, OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError) as error:
+        except (
+            trio.TooSlowError,
+            OSError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            h11.ProtocolError,
+        ) as error:
             raise Lost(f"{addr}{path}: {error!r}") from None
         except orjson.JSONDecodeError as error:
             raise Lost(f"{addr}{path}: answer is not JSON: {error}") from None
@@ -105,7 +115,11 @@
 
     def _keep(self, addr: str, link: _Link) -> bool:
         idle = self._idle.setdefault(addr, [])
-        if link.conn.our_state is not h11.DONE or link.conn.their_state is not h11.DONE or len(idle) >= c.POOL_IDLE_PER_PEER:
+        if (
+            link.conn.our_state is not h11.DONE
+            or link.conn.their_state is not h11.DONE
+            or len(idle) >= c.POOL_IDLE_PER_PEER
+        ):
             return False
         link.conn.start_next_cycle()
         link.idle_since = trio.current_time()
--- a/pepperlatch/leader.py
+++ b/pepperlatch/leader.py
@@ -72,7 +72,12 @@
             if fleet_pairs is None:
                 return
             self._owner.post(lambda: self._start(fleet_pairs))
-            for task in (self.writer.run, self._rentals.types_loop, self._rentals.list_loop, self._rentals.release_loop):
+            for task in (
+                self.writer.run,
+                self._rentals.types_loop,
+                self._rentals.list_loop,
+                self._rentals.release_loop,
+            ):
                 nursery.start_soon(task)
             while not self.term.over:
                 await trio.sleep(c.TICK_S / 2)
@@ -134,7 +139,14 @@
         submitted = self._clock() - max(0.0, self._wall() - entry.record.at)
         spec = entry.record.spec
         self.cluster.add_job(spec, entry.version, submitted, done)
-        log.info("job %s: %s %s of %d x %g cpus", job_id, spec.priority.name.lower(), spec.kind.name.lower(), spec.tasks, spec.cpus)
+        log.info(
+            "job %s: %s %s of %d x %g cpus",
+            job_id,
+            spec.priority.name.lower(),
+            spec.kind.name.lower(),
+            spec.tasks,
+            spec.cpus,
+        )
 
     def on_jobs(self, touched: set[str]) -> None:
         """The watch has shown changes of these jobs."""
@@ -250,7 +262,9 @@
             pause = c.COMMAND_S
         self._owner.post(lambda: self._commanded(machine, report, launched, executed, pause))
 
-    def _commanded(self, machine: Machine, report: Report | None, launched: list[Any], executed: bool | None, pause: float) -> None:
+    def _commanded(
+        self, machine: Machine, report: Report | None, launched: list[Any], executed: bool | None, pause: float
+    ) -> None:
         now = self._clock()
         machine.sending = False
         machine.send_after = now + pause
--- a/pepperlatch/leadership.py
+++ b/pepperlatch/leadership.py
@@ -27,7 +27,9 @@
 
     def sure(self, now: float) -> bool:
         """The lease cannot have ended yet: what cannot be taken back is allowed."""
-        return not self.over and now - self.checked_at < c.LEADER_LEASE_MS / 1000 * (1 - c.CLOCK_DRIFT) - 0.1
+        return (
+            not self.over and now - self.checked_at < c.LEADER_LEASE_MS / 1000 * (1 - c.CLOCK_DRIFT) - c.SURE_MARGIN_S
+        )
 
     def may_answer(self, now: float) -> bool:
         """Reports may be answered: whatever we keep alive is gone before a cancellation's bound."""
@@ -39,7 +41,15 @@
 
 
 class Leadership:
-    def __init__(self, node: str, state: StateClient, replica: store.Replica, hold_s: float, clock: Callable[[], float], seed: int | None = None) -> None:
+    def __init__(
+        self,
+        node: str,
+        state: StateClient,
+        replica: store.Replica,
+        hold_s: float,
+        clock: Callable[[], float],
+        seed: int | None = None,
+    ) -> None:
         self._node = node
         self._state = state
         self._replica = replica
--- a/pepperlatch/peers.py
+++ b/pepperlatch/peers.py
@@ -52,7 +52,9 @@
         async def ask(peer: Peer) -> None:
             nonlocal heard
             try:
-                status, answer = await self._network.request(peer.addr, "POST", PEER_INSPECT, {"addr": addr}, 2 * c.PROBE_S)
+                status, answer = await self._network.request(
+                    peer.addr, "POST", PEER_INSPECT, {"addr": addr}, 2 * c.PROBE_S
+                )
                 heard += 1
                 if status == 200:
                     found.append(wire.convert(answer, Report))
--- a/pepperlatch/placement.py
+++ b/pepperlatch/placement.py
@@ -58,7 +58,15 @@
         return (is_slow(machine), image, pins, used[machine.name], kind, machine.free_cpus, machine.born)
     wait_s = round(fetch_s(machine, spec) * (1 + len(fetches - {spec.image})), 1)
     last = not machine.has_room(spec, 2)
-    return (is_slow(machine), 1, wait_s, used[machine.name] + (not home), pins + last * machine.price(), machine.free_cpus, machine.born)
+    return (
+        is_slow(machine),
+        1,
+        wait_s,
+        used[machine.name] + (not home),
+        pins + last * machine.price(),
+        machine.free_cpus,
+        machine.born,
+    )
 
 
 def fetch_s(machine: Machine, spec: JobSpec) -> float:
@@ -85,7 +93,8 @@
     """
 
     def __init__(
-        self, job: Job, machines: Iterable[Machine], zones: Iterable[str], free: Callable[[Machine], bool], start_s: float
+        self, job: Job, machines: Iterable[Machine], zones: Iterable[str],
+        free: Callable[[Machine], bool], start_s: float,
     ) -> None:  # fmt: skip
         self._job = job
         self._start_s = start_s
@@ -94,7 +103,11 @@
         self._in_zone = Counter(a.machine.zone for a in job.live.values())
         self._on = Counter(a.machine.name for a in job.live.values()) if job.spec.kind is Kind.SERVICE else Counter()
         spec = job.spec
-        fitting = [m for m in machines if m.has_room(spec) and allowed_on(spec, m.type.name, m.zone, m.spot) and self._open(m.zone)]
+        fitting = [
+            m
+            for m in machines
+            if m.has_room(spec) and allowed_on(spec, m.type.name, m.zone, m.spot) and self._open(m.zone)
+        ]
         self._heap = [(rank(m, job, self._on, start_s), n, m) for n, m in enumerate(fitting)]
         heapq.heapify(self._heap)
 
@@ -133,7 +146,9 @@
 def roomy(machines: Iterable[Machine], specs: Iterable[JobSpec]) -> list[Machine]:
     """Machines with room for the smallest of the tasks at least; in a full cluster few are left to look at."""
     specs = list(specs)
-    cpus, gpus, gb = (min((getattr(s, name) for s in specs), default=0.0) - EPS for name in ("cpus", "gpus", "memory_gb"))
+    cpus, gpus, gb = (
+        min((getattr(s, name) for s in specs), default=0.0) - EPS for name in ("cpus", "gpus", "memory_gb")
+    )
     return [m for m in machines if m.free_cpus >= cpus and m.free_gpus >= gpus and m.free_gb >= gb]
 
 
--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -78,7 +78,9 @@
         machines = self.usable(now)
         cheapest = self._cheapest(self.spare.spec) if self.spare.spec else float("inf")
         homes = [m for m in machines if not placement.pinned(m, cheapest)]
-        self.spare.count(homes, [j.spec for j in cluster.jobs.values() if not j.over], self.tuning["spare_jobs"], self._start_s)
+        self.spare.count(
+            homes, [j.spec for j in cluster.jobs.values() if not j.over], self.tuning["spare_jobs"], self._start_s
+        )
         self.needs = []
         jobs = self.ordered(now)
         machines = placement.roomy(machines, (j.spec for j in jobs))
@@ -114,7 +116,12 @@
         if spec.one_zone and not job.live:
             best = placement.choose_zone(job, machines, zones)
             zones = [best] if best else []
-        if spec.kind is Kind.SERVICE and not job.ran and now - job.submitted < c.PIN_WAIT_S and self._cheap_to_be_had(spec, now):
+        if (
+            spec.kind is Kind.SERVICE
+            and not job.ran
+            and now - job.submitted < c.PIN_WAIT_S
+            and self._cheap_to_be_had(spec, now)
+        ):
             cheapest = self._cheapest(spec)
             machines = [m for m in machines if not placement.pinned(m, cheapest)]
         if self._thrifty(job, now):
@@ -133,7 +140,9 @@
 
     def _guarantee_open(self, job: Job, now: float) -> bool:
         """Whether it can still start as soon as the aim for work within a guarantee says; always, if there is none."""
-        within = [a.within_s for a in self.cluster.params.objectives if a.kind == "guarantee" and a.within_s is not None]
+        within = [
+            a.within_s for a in self.cluster.params.objectives if a.kind == "guarantee" and a.within_s is not None
+        ]
         return not within or now - job.submitted + c.START_S < min(within)
 
     def _patient(self, job: Job, now: float) -> bool:
@@ -268,7 +277,11 @@
     # --- renting ----------------------------------------------------------------------------------
 
     def booting_bins(self, now: float) -> list[Bin]:
-        bins = [fleet.bin_of(Offer(m.type.name, m.zone, m.spot), m.type) for m in self.cluster.machines.values() if self._coming(m, now)]
+        bins = [
+            fleet.bin_of(Offer(m.type.name, m.zone, m.spot), m.type)
+            for m in self.cluster.machines.values()
+            if self._coming(m, now)
+        ]
         for offer, count in self.asked.items():
             bins += [fleet.bin_of(offer, self.cluster.types[offer.type]) for _ in range(count)]
         return bins
@@ -276,11 +289,17 @@
     def _coming(self, machine: Machine, now: float) -> bool:
         if machine.status is Status.JOINING:
             return True
-        return machine.zone not in self.dark and machine.status is Status.BOOTING and now - machine.born < c.BOOT_SPREAD * machine.type.boot_s + c.BOOT_SLACK_S
+        return (
+            machine.zone not in self.dark
+            and machine.status is Status.BOOTING
+            and now - machine.born < c.BOOT_SPREAD * machine.type.boot_s + c.BOOT_SLACK_S
+        )
 
     def rent(self, now: float) -> list[Offer]:
         """What to ask the cloud for, after counting on what is already booting."""
-        needs = [Need(n.job, n.count, dict(n.spread), self._patient(n.job, now), self._turns(n.job, now)) for n in self.needs]
+        needs = [
+            Need(n.job, n.count, dict(n.spread), self._patient(n.job, now), self._turns(n.job, now)) for n in self.needs
+        ]
         for room in self.booting_bins(now):
             room.fill(needs)
         self._count_on_finishing(needs, now)
@@ -288,7 +307,12 @@
             need.job.explain("machines are booting", now)
         needs += self._spare_need(now)
         blocked = {offer for offer, until in self.blocked.items() if until > now} | set(self.asked)
-        blocked |= {Offer(t.name, zone, spot) for t in self.cluster.types.values() for zone in self.dark for spot in (False, True)}
+        blocked |= {
+            Offer(t.name, zone, spot)
+            for t in self.cluster.types.values()
+            for zone in self.dark
+            for spot in (False, True)
+        }
         chosen = fleet.choose(needs, list(self.cluster.types.values()), blocked, c.HIRE_COUNT_MOST)
         for need in needs:
             if need.count > 0 and need.job.spec.id:
@@ -296,12 +320,16 @@
         return chosen
 
     def _spare_need(self, now: float) -> list[Need]:
-        """Room for replicas that is neither there nor booting, on machines that a replica would not pin: others are not counted."""
+        """Room for replicas that is neither there nor booting; only on machines that a replica would not pin."""
         if self.spare.spec is None or self.cluster.rebuilding():
             return []
         cheapest = self._cheapest(self.spare.spec)
         homes = [t.name for t in self.cluster.types.values() if t.price <= c.PIN_RATIO * cheapest]
-        coming = sum(room.slots(self.spare.spec) for room in self.booting_bins(now) if not room.offer.spot and room.offer.type in homes)
+        coming = sum(
+            room.slots(self.spare.spec)
+            for room in self.booting_bins(now)
+            if not room.offer.spot and room.offer.type in homes
+        )
         short = self.spare.wanted - self.spare.free() - coming
         spec = msgspec.structs.replace(self.spare.spec, types=homes)
         return [Need(Job(spec, 0, now, False), short)] if short > 0 else []
@@ -357,31 +385,47 @@
 
     def idle(self, now: float) -> list[Machine]:
         """Machines without tasks that cost more than they may save."""
-        idle = [m for m in self.cluster.machines.values() if m.status is Status.UP and not m.attempts and m.idle_since is not None]
+        idle = [
+            m
+            for m in self.cluster.machines.values()
+            if m.status is Status.UP and not m.attempts and m.idle_since is not None
+        ]
         out = []
         for machine in sorted(idle, key=self.spare.worth):
             broken = machine.quarantined or machine.notice_at is not None
             if not broken and self.spare.needs(machine):
                 continue
-            if broken or machine.draining is not None or (self._idle_long(machine, now) and not self._needed(machine, now)):
+            if (
+                broken
+                or machine.draining is not None
+                or (self._idle_long(machine, now) and not self._needed(machine, now))
+            ):
                 self.spare.drop(machine)
                 out.append(machine)
         return out
 
     def _idle_long(self, machine: Machine, now: float) -> bool:
+        """A spot machine is kept as much longer as it is cheaper: for the same money it may save a boot."""
         since = machine.idle_since if machine.idle_since is not None else now
-        return now - since >= self.tuning["idle_s"] and now - machine.born >= c.MIN_CHARGE_S - c.CHARGE_SLACK_S
+        idle_s = self.tuning["idle_s"] * machine.type.price / max(machine.price(), EPS)
+        return now - since >= idle_s and now - machine.born >= c.MIN_CHARGE_S - c.CHARGE_SLACK_S
 
     # --- draining ---------------------------------------------------------------------------------
 
     def drain(self, now: float) -> None:
-        fleet_size = max(1, len(self.cluster.machines))
-        if now - self.drained_at < self.tuning["drain_every_s"] * min(1.0, c.DRAIN_FLEET / fleet_size):
+        if now - self.drained_at < self.tuning["drain_every_s"]:
             return
         self.drained_at = now
         machines = self.usable(now)
         knobs = self.tuning
-        choice = draining.choose(machines, knobs["drain_threshold"], knobs["drain_age_s"], knobs["drain_lost_s"], now, lambda m: self._needed(m, now))
+        choice = draining.choose(
+            machines,
+            knobs["drain_threshold"],
+            knobs["drain_age_s"],
+            knobs["drain_lost_s"],
+            now,
+            lambda m: self._needed(m, now),
+        )
         if choice is None:
             self.drains_cancelled += bool(draining.underused(machines, knobs["drain_threshold"]))
             return
--- a/pepperlatch/records.py
+++ b/pepperlatch/records.py
@@ -2,11 +2,12 @@
 
 import logging
 from collections.abc import Callable
+from functools import partial
 
 from pepperlatch import constants as c
 from pepperlatch import store, wire
 from pepperlatch.duty import Duty
-from pepperlatch.model import Job, Machine
+from pepperlatch.model import Job
 from pepperlatch.wire import JobState
 from pepperlatch.writer import Write
 
@@ -22,11 +23,12 @@
     def record(self, now: float) -> None:
         for machine in self._duty.cluster.to_record:
             record = store.MachineRecord(machine.addr, machine.type.name, machine.zone, machine.spot, machine.draining)
-            self._duty.writer.add(Write([wire.put(store.MACHINE + machine.name, wire.to_plain(record))], lambda ok, m=machine: self._recorded(m, ok)))  # type: ignore[misc]
+            changes = [wire.put(store.MACHINE + machine.name, wire.to_plain(record))]
+            self._duty.writer.add(Write(changes, partial(self._recorded, machine.name)))
         self._duty.cluster.to_record.clear()
 
-    def _recorded(self, machine: Machine, applied: bool) -> None:
-        self._duty.owner.post(lambda: self._now_recorded(machine.name))
+    def _recorded(self, name: str, applied: bool) -> None:
+        self._duty.owner.post(lambda: self._now_recorded(name))
 
     def _now_recorded(self, name: str) -> None:
         self._duty.cluster.recorded(name, self._duty.clock())
--- a/pepperlatch/rentals.py
+++ b/pepperlatch/rentals.py
@@ -24,7 +24,7 @@
         self._hire_of: dict[str, set[str]] = {}  # hire record -> its machines that are not recorded yet
 
     def rent(self, now: float) -> None:
-        """A few calls at once, the largest first: what waits for its turn is asked for together with what comes meanwhile."""
+        """A few calls at once, the largest first: what waits for its turn is asked for with what comes meanwhile."""
         free = c.HIRES_AT_ONCE - len(self._duty.planner.asked)
         if free <= 0:
             return
@@ -86,7 +86,11 @@
         fresh = {""}
         for name in names or []:
             known = self._duty.cluster.machines.get(name)
-            if kind is None or name in self._duty.cluster.gone or (known is not None and known.status is not Status.BOOTING):
+            if (
+                kind is None
+                or name in self._duty.cluster.gone
+                or (known is not None and known.status is not Status.BOOTING)
+            ):
                 continue
             fresh.add(name)
             if known is None:
@@ -144,7 +148,9 @@
             kind = self._duty.cluster.types.get(item.type)
             if machine is None and kind is not None and item.name not in self._duty.cluster.gone:
                 log.info("unexpected machine %s in the list", item.name)
-                machine = Machine(item.name, kind, item.zone, item.spot, item.addr or "", Status.BOOTING, now - item.age_s)
+                machine = Machine(
+                    item.name, kind, item.zone, item.spot, item.addr or "", Status.BOOTING, now - item.age_s
+                )
                 self._duty.cluster.machines[item.name] = machine
                 self._duty.cluster.dirty = True
             if machine is not None:
@@ -153,7 +159,11 @@
                     self._duty.cluster.release(machine, "failed")
         lag = self._duty.settings.params.cloud.list_lag_s * c.LIST_LAG_TIMES + c.CLOUD_LIST_EVERY_S
         for machine in list(self._duty.cluster.machines.values()):
-            if machine.name not in names and machine.status is Status.BOOTING and (machine.listed or now - machine.born > 2 * lag):
+            if (
+                machine.name not in names
+                and machine.status is Status.BOOTING
+                and (machine.listed or now - machine.born > 2 * lag)
+            ):
                 self._duty.cluster.release(machine, "not listed any more")
 
     async def release_loop(self) -> None:
--- a/pepperlatch/state.py
+++ b/pepperlatch/state.py
@@ -66,7 +66,9 @@
             self.bad_since = self._clock()
         self.bad_at = self._clock()
 
-    async def _call(self, method: str, path: str, body: Any = None, seconds: float = c.STATE_REQUEST_S, urgent: bool = False) -> tuple[int, Any]:
+    async def _call(
+        self, method: str, path: str, body: Any = None, seconds: float = c.STATE_REQUEST_S, urgent: bool = False
+    ) -> tuple[int, Any]:
         wait = self._requests.wait_for(self._clock(), 1.0, urgent)
         if wait > 0:
             await trio.sleep(wait)
@@ -112,7 +114,9 @@
         status, answer = await self._call("GET", wire.watch_path(prefix, after, wait_ms), None, seconds)
         return None if status == 410 else _checked(answer, wire.Changes)
 
-    async def txn(self, conditions: list[dict[str, Any]], writes: list[dict[str, Any]], urgent: bool = False) -> Outcome:
+    async def txn(
+        self, conditions: list[dict[str, Any]], writes: list[dict[str, Any]], urgent: bool = False
+    ) -> Outcome:
         wait = self._writes.wait_for(self._clock(), len(writes), urgent)
         if wait > 0:
             await trio.sleep(wait)
--- a/pepperlatch/supply.py
+++ b/pepperlatch/supply.py
@@ -42,7 +42,14 @@
 
 def start_s(spec: JobSpec, objectives: Iterable[Objective]) -> float:
     """How soon the class's tasks are to start, by the strictest aim; for ever if there is none."""
-    return min((a.within_s for a in objectives if a.kind == "wait" and a.job_class == spec.job_class and a.within_s is not None), default=math.inf)
+    return min(
+        (
+            a.within_s
+            for a in objectives
+            if a.kind == "wait" and a.job_class == spec.job_class and a.within_s is not None
+        ),
+        default=math.inf,
+    )
 
 
 def next_due(job: Job, objectives: Iterable[Objective], inside: bool, now: float) -> float:
@@ -74,7 +81,11 @@
         if need.count <= 0 or place.free_in_s > patience_s:
             return
         machine, old = place.machine, place.spec
-        fits = spec.cpus <= old.cpus + EPS and spec.gpus <= old.gpus + EPS and spec.memory_gb <= old.memory_gb + machine.free_gb + EPS
+        fits = (
+            spec.cpus <= old.cpus + EPS
+            and spec.gpus <= old.gpus + EPS
+            and spec.memory_gb <= old.memory_gb + machine.free_gb + EPS
+        )
         if not fits or not allowed_on(spec, machine.type.name, machine.zone, machine.spot):
             continue
         count = min(need.count, 1 + int((patience_s - place.free_in_s) // run_s))
@@ -98,12 +109,22 @@
     _total: int = 0
     _holding: Counter[str] = field(default_factory=Counter)  # places on machines that hold an image
 
-    def count(self, machines: Iterable[Machine], specs: list[JobSpec], jobs: float, start_s: Callable[[JobSpec], float] = lambda s: 0.0) -> None:
-        """`start_s`: how soon a replica is to start. An image that can be fetched within that needs no room where it is."""
+    def count(
+        self,
+        machines: Iterable[Machine],
+        specs: list[JobSpec],
+        jobs: float,
+        start_s: Callable[[JobSpec], float] = lambda s: 0.0,
+    ) -> None:
+        """`start_s`: how soon a replica is to start. An image fetched within that needs no room where it is."""
         replicas = [s for s in specs if s.kind is Kind.SERVICE and s.types is None and s.zone is None]
         largest = max(replicas, key=lambda s: (s.cpus, s.gpus, s.memory_gb), default=None)
         most = max((s.tasks for s in replicas), default=0)
-        self.spec = None if largest is None else msgspec.structs.replace(largest, id="", one_zone=False, spread=False, tasks=most, spot=False)
+        self.spec = (
+            None
+            if largest is None
+            else msgspec.structs.replace(largest, id="", one_zone=False, spread=False, tasks=most, spot=False)
+        )
         self.wanted = math.ceil(jobs * most)
         self.usual = min(self.wanted, int(statistics.median(s.tasks for s in replicas))) if replicas else 0
         self._fetched_at = {}
@@ -122,7 +143,9 @@
         need = (self.spec.cpus, self.spec.gpus, self.spec.memory_gb)
         less = (taken.cpus, taken.gpus, taken.memory_gb) if taken else (0.0, 0.0, 0.0)
         free = (machine.free_cpus, machine.free_gpus, machine.free_gb)
-        return max(0, min((int((f - t + EPS) // n) for n, f, t in zip(need, free, less, strict=True) if n > 0), default=0))
+        return max(
+            0, min((int((f - t + EPS) // n) for n, f, t in zip(need, free, less, strict=True) if n > 0), default=0)
+        )
 
     def free(self, image: str | None = None) -> int:
         return self._total if image is None else self._holding[image]
@@ -149,7 +172,9 @@
         slots = self._slots.get(machine)
         if slots is None:
             return False
-        return self._total - slots < self.wanted or any(self._holding[image] - slots < self.usual for image in self._kept(machine))
+        return self._total - slots < self.wanted or any(
+            self._holding[image] - slots < self.usual for image in self._kept(machine)
+        )
 
     def worth(self, machine: Machine) -> int:
         """How many slow images its room serves."""
--- a/pepperlatch/tuning.py
+++ b/pepperlatch/tuning.py
@@ -18,8 +18,16 @@
     "drain_every_s": Knob(10.0, 1.0, 3600.0, "s", "the design's round; the paper says only 'regular'"),
     "drain_age_s": Knob(600.0, 0.0, 86400.0, "s", "a move restarts a task, so only young tasks are moved"),
     "drain_lost_s": Knob(8.0, 0.0, 86400.0, "s", "unsaved run time that a move may throw away; replicas lose none"),
-    "idle_s": Knob(30.0, 0.0, 3600.0, "s", "an idle machine is kept about as long as a new one takes to boot and fetch"),
-    "spare_jobs": Knob(1.0, 0.0, 20.0, "jobs", "largest services for which room is kept, so that a new or lost one starts at once"),
+    "idle_s": Knob(
+        30.0,
+        0.0,
+        3600.0,
+        "s",
+        "an idle machine is kept about as long as a new one takes to boot and fetch; a spot one for the same money",
+    ),
+    "spare_jobs": Knob(
+        1.0, 0.0, 20.0, "jobs", "largest services for which room is kept, so that a new or lost one starts at once"
+    ),
 }
 
 
--- a/pepperlatch/users.py
+++ b/pepperlatch/users.py
@@ -67,7 +67,16 @@
         raise Malformed("not a job id")
     if not 1 <= spec.tasks <= c.MAX_TASKS:
         raise Malformed("the number of tasks is out of range")
-    amounts = (spec.cpus, spec.gpus, spec.memory_gb, spec.image_gb, spec.estimate_s, spec.checkpoint_s, spec.save_s, spec.deadline_s or 0.0)
+    amounts = (
+        spec.cpus,
+        spec.gpus,
+        spec.memory_gb,
+        spec.image_gb,
+        spec.estimate_s,
+        spec.checkpoint_s,
+        spec.save_s,
+        spec.deadline_s or 0.0,
+    )
     if not all(math.isfinite(amount) and 0 <= amount <= c.MAX_AMOUNT for amount in amounts):
         raise Malformed("an amount is negative or not finite")
     return spec
@@ -261,7 +270,9 @@
                     return Response(404, {"error": "no such job"})
                 if entry.state in wire.FINAL:
                     return Response(200, wire.job_answer(job_id, entry.state))
-                record = store.JobRecord(JobState.CANCELLED.value, entry.record.spec, entry.record.tasks, entry.record.at)
+                record = store.JobRecord(
+                    JobState.CANCELLED.value, entry.record.spec, entry.record.tasks, entry.record.at
+                )
                 key = store.JOB + job_id
                 outcome = await self._state.txn([wire.when(key, entry.version)], [wire.put(key, wire.to_plain(record))])
                 if outcome.applied:
--- a/pepperlatch/wire.py
+++ b/pepperlatch/wire.py
@@ -82,7 +82,9 @@
     deadline_s: float | None = None
 
 
-class TaskReport(msgspec.Struct, rename={"task": "piece", "attempt": "try", "state": "status", "why": "cause", "saved": "stored"}):
+class TaskReport(
+    msgspec.Struct, rename={"task": "piece", "attempt": "try", "state": "status", "why": "cause", "saved": "stored"}
+):
     task: str
     attempt: int
     state: TaskState
@@ -128,7 +130,15 @@
     zones: list[str]
 
 
-_LISTED = {"name": "name_id", "addr": "endpoint", "type": "build", "zone": "yard", "spot": "loaners", "state": "status", "age_s": "held_s"}
+_LISTED = {
+    "name": "name_id",
+    "addr": "endpoint",
+    "type": "build",
+    "zone": "yard",
+    "spot": "loaners",
+    "state": "status",
+    "age_s": "held_s",
+}
 
 
 class Listed(msgspec.Struct, rename=_LISTED):
--- a/pepperlatch/writer.py
+++ b/pepperlatch/writer.py
@@ -67,7 +67,9 @@
     async def _commit(self, batch: list[Write]) -> None:
         """Retries after an unknown outcome are safe: all changes are whole values, or conditional."""
         lead = wire.when(store.LEADER, self._term.token)
-        outcome = await self._state.txn([lead] + [w for b in batch for w in b.when], [w for b in batch for w in b.changes])
+        outcome = await self._state.txn(
+            [lead] + [w for b in batch for w in b.when], [w for b in batch for w in b.changes]
+        )
         if outcome.applied:
             for write in batch:
                 write.done(True)
@@ -80,4 +82,3 @@
                 if write not in rest:
                     write.done(False)
             self._queue.extendleft(reversed(rest))
-
