--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -27,7 +27,8 @@
 Answer = tuple[int, Any]
 
 
-def settings_of(index: int, count: int = 3) -> Any:
+def settings_of(index: int, count: int = 3, after: str = "") -> Any:
+    """`after`: limits that the state service will have from some moment on, as lines of the file."""
     peers = "".join(
         f'[[members]]\nnode_name="{n}"\nzone="{ZONES[i % 3]}"\nendpoint="10.0.0.{i}:2"\n'
         for i, n in enumerate(NODES[:count])
@@ -65,6 +66,8 @@
 write_rps = 100.0
 value_kb = 16.0
 txn_ops = 16
+{"[params.state.next]" if after else ""}
+{after}
 [params.cloud]
 rps = 10.0
 list_lag_s = 2.0
@@ -100,6 +103,26 @@
         self.refused: set[str] = set()
         self._ids = itertools.count(1)
         self._changed = trio.Event()
+        self.limits: dict[str, float] = {}
+        self.refusals: list[str] = []  # of requests beyond the limits
+        self._saved_puts = (0.0, 0.0)
+
+    def beyond_limits(self, body: Any) -> int:
+        """400 or 429 for a transaction that the limits do not allow, else 0."""
+        writes = body.get("writes", [])
+        sizes = [len(orjson.dumps(w["value"])) for w in writes if "set" in w]
+        most = self.limits["txn_ops"]
+        if max(sizes, default=0) > self.limits["value_kb"] * 1024 or len(writes) > most or len(body["when"]) > 4 * most:
+            self.refusals.append("400")
+            return 400
+        (saved, at), rate, now = self._saved_puts, self.limits["write_rps"], trio.current_time()
+        saved = min(rate, saved + (now - at) * rate) - len(writes)
+        self._saved_puts = (saved, now)
+        if saved < 0:
+            self.refusals.append("429")
+            self._saved_puts = (saved + len(writes), now)
+            return 429
+        return 0
 
     async def serve(self, source: str, method: str, path: str, body: Any) -> Answer:
         if self.out or source in self.refused:
@@ -126,6 +149,8 @@
         return 200, {"pairs": pairs, "truncated": len(names) > most, "ledger_mark": self.revision}
 
     def txn(self, body: Any) -> Answer:
+        if self.limits and (status := self.beyond_limits(body)):
+            return status, {"error": "beyond the limits"}
         failed = [c["k"] for c in body["when"] if (self.keys[c["k"]][1] if c["k"] in self.keys else 0) != c["stamp"]]
         writes = body.get("writes", [])
         if any(w.get("tenancy") is not None and w["tenancy"] not in self.leases for w in writes):
@@ -423,6 +448,9 @@
         if used > {"red": 32.0, "blue": 16.0}[spec["crew"]]:
             self.broken.append(f"quota {spec['crew']}")
         self.check_cancelled(job_id)
+        for need in spec.get("prereqs") or ():
+            if len(self.done[need]) < self.world.jobs[need]["pieces"]:
+                self.broken.append(f"too_early {job_id}")
 
     def check_cancelled(self, job_id: str) -> None:
         if trio.current_time() - self.cancelled.get(job_id, 1e18) > CANCEL_S:
@@ -440,14 +468,23 @@
         state = answer["status"]
         if state == "done" and len(self.done[job_id]) < self.world.jobs[job_id]["pieces"]:
             self.broken.append(f"not_done {job_id}")
+        if state in ("queued", "running") and self.orphaned_since(job_id) < trio.current_time() - CANCEL_S:
+            self.broken.append(f"orphaned {job_id}")
         if self.told.get(job_id) in ("done", "withdrawn") and state != self.told[job_id]:
             self.broken.append(f"went_back {job_id}")
         self.told[job_id] = state
 
 
+    def orphaned_since(self, job_id: str) -> float:
+        """When a user was told that a job before this one is cancelled."""
+        needs = self.world.jobs[job_id].get("prereqs") or ()
+        return min((min(self.cancelled.get(n, 1e18), self.orphaned_since(n)) for n in needs), default=1e18)
+
+
 class World:
-    def __init__(self, nursery: trio.Nursery, count: int = 3) -> None:
+    def __init__(self, nursery: trio.Nursery, count: int = 3, after: str = "") -> None:
         self.nursery = nursery
+        self.after = after
         self.count = count
         self.state = FakeState()
         self.cloud = FakeCloud(self)
@@ -509,10 +546,11 @@
 
     # --- nodes ------------------------------------------------------------------------------------
 
-    def start(self, index: int) -> None:
+    def start(self, index: int, link: Callable[[Any], Any] = lambda link: link) -> None:
+        """`link` may put something between the node and its network."""
         node = Node(
-            settings_of(index, self.count),
-            _Link(self, NODES[index]),
+            settings_of(index, self.count, self.after),
+            link(_Link(self, NODES[index])),
             trio.current_time,
             lambda: 1e9 + trio.current_time(),
             index,
@@ -598,12 +636,12 @@
         return response.status, response.body
 
 
-def story(tell: Callable[[World], Awaitable[None]], count: int = 3) -> None:
+def story(tell: Callable[[World], Awaitable[None]], count: int = 3, after: str = "") -> None:
     """Run a story in a world with so many nodes; at its end no rule may have been broken."""
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
-            world = World(nursery, count)
+            world = World(nursery, count, after)
             nursery.start_soon(world.state.run)
             nursery.start_soon(world.observer.run)
             for index in range(count):
