--- a/pepperlatch/leader.py
+++ b/pepperlatch/leader.py
@@ -161,7 +161,7 @@
         due_at = self._clock() + standing.due - self._wall() if standing.due < math.inf else None
         if (job.rank, job.due_at is None) != (standing.rank, due_at is None):
             self.cluster.dirty = True
-        job.rank, job.due_at = standing.rank, due_at
+        job.rank, job.due_at, job.after = standing.rank, due_at, standing.after
 
     def on_jobs(self, touched: set[str]) -> None:
         """The watch has shown changes of these jobs."""
--- a/pepperlatch/model.py
+++ b/pepperlatch/model.py
@@ -70,6 +70,7 @@
     over: bool = False  # cancelled or done: what still runs has to go
     rank: int = -1  # of its priority, or of a stronger one of a job that needs it
     due_at: float | None = None  # by when it should be done, so that what needs it can be, too
+    after: int = 0  # jobs that come after it before that deadline, and share the time to spare
 
     def __post_init__(self) -> None:
         if self.rank < 0:
--- a/pepperlatch/prerequisites.py
+++ b/pepperlatch/prerequisites.py
@@ -13,13 +13,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Standing:
-    """How urgent a job is: the smaller the rank the stronger; `due`: time of day at which it should be done."""
+    """How urgent a job is: the smaller the rank the stronger; `due`: time of day at which it should be done.
+
+    `after`: how many jobs come after it on the way to the one whose deadline that is.
+    """
 
     rank: int
     due: float = math.inf
+    after: int = 0
 
     def with_(self, other: "Standing") -> "Standing":
-        return Standing(min(self.rank, other.rank), min(self.due, other.due))
+        due, after = min((self.due, -self.after), (other.due, -other.after))
+        return Standing(min(self.rank, other.rank), due, -after)
 
 
 @dataclass(slots=True)
@@ -31,7 +36,8 @@
 
     def before(self, standing: Standing) -> Standing:
         """The standing that a job needs for this one, which has that standing, to be done in time."""
-        return Standing(standing.rank, standing.due - self.run_s - STEP_S)
+        chained = standing.due < math.inf
+        return Standing(standing.rank, standing.due - self.run_s - STEP_S, standing.after + 1 if chained else 0)
 
 
 @dataclass(slots=True)
--- a/pepperlatch/supply.py
+++ b/pepperlatch/supply.py
@@ -30,10 +30,14 @@
 
 
 def slack_s(job: Job, objectives: Iterable[Objective], now: float) -> float:
-    """How much longer the job's tasks may wait before an aim of its class is missed."""
+    """How much longer the job's tasks may wait before an aim of its class is missed.
+
+    The jobs of a chain share the time to spare: a step that waited it out for free places would leave none for
+    the run times behind it, which are only estimated.
+    """
     waited, spec = now - job.since, job.spec
     run_s = spec.estimate_s * c.ESTIMATE_CAUTION
-    slack = [job.due_at - now - run_s] if job.due_at is not None else []
+    slack = [(job.due_at - now - run_s) / (1 + job.after)] if job.due_at is not None else []
     for aim in objectives:
         if aim.job_class == spec.job_class and aim.within_s is not None:
             slack.append(aim.within_s - waited - (run_s if aim.kind == "finished" else 0.0))
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -1,11 +1,13 @@
 """Stories of chained jobs: what waits, what may start, what a cancellation takes along."""
 
+import math
 from typing import Any
 
 import pytest
 import trio
 
-from pepperlatch import store, wire
+from pepperlatch import store, supply, wire
+from pepperlatch.model import Job
 from pepperlatch.prerequisites import Prerequisites, Standing
 from tests.fakes import CANCEL_S, World, job, story
 
@@ -256,6 +258,19 @@
     assert len(graph.cancel("j1", "j1")) == 20_000
 
 
+def test_the_steps_of_a_chain_share_the_time_to_spare() -> None:
+    """Seen: the last tasks of a middle step waited 70 s for free places, and its pipeline was late."""
+    graph = Prerequisites()
+    for job_id, needs, due in (("a", (), math.inf), ("b", ("a",), math.inf), ("c", ("a",), 90.0), ("d", ("b",), 90.0)):
+        graph.add(job_id, needs, Standing(3, due), 10.0)
+    assert graph.standing("a") == Standing(3, 90.0 - 2 * 13, 2)  # by way of b and d
+    assert graph.standing("c") == Standing(3, 90.0, 0)
+    spec = wire.convert(job(1, expected_s=10.0), wire.JobSpec)
+    alone, first = Job(spec, 1, 0.0, False, due_at=70.0), Job(spec, 1, 0.0, False, due_at=70.0, after=2)
+    assert supply.slack_s(alone, [], 0.0) > 0
+    assert supply.slack_s(alone, [], 0.0) == pytest.approx(3 * supply.slack_s(first, [], 0.0))
+
+
 def test_a_reading_in_any_order_tells_the_same() -> None:
     """Keys come in the order of their names: what needs a job may be read before the job itself."""
     spec = wire.to_plain(wire.convert(job(1, prereqs=["run-9"]), wire.JobSpec))
