Guaranteed work that only ordinary machines may run need not wait for spare room

Ruled out: the cloud, patience. Only jobs that may not use spot machines are touched; the earlier deployments have none but services.

--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -127,7 +127,15 @@
             machines = [m for m in machines if not placement.pinned(m, cheapest)]
         if self._thrifty(job, now):
             machines = [m for m in machines if m.spot or m.kept()]
-        return Candidates(job, machines, zones, lambda m: self.spare.allows(spec, m), self._start_s(spec))
+        entitled = self._entitled(job)
+        return Candidates(job, machines, zones, lambda m: entitled or self.spare.allows(spec, m), self._start_s(spec))
+
+    def _entitled(self, job: Job) -> bool:
+        """Guaranteed work that only ordinary machines may run need not wait for replicas that nobody has asked for.
+
+        While services grow, the room kept for them is always short, and such work would never find any.
+        """
+        return not job.spec.spot and job.spec.id in self.inside
 
     def _start_s(self, spec: JobSpec) -> float:
         return supply.start_s(spec, self.cluster.params.objectives)
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -118,6 +118,18 @@
     assert chosen and {offer.type for offer in chosen} == {"m8"}
 
 
+def test_guaranteed_work_on_ordinary_machines_only_need_not_wait_for_spare_room() -> None:
+    """Seen: a step of two tasks waited 78 s, and its pipeline was late, while room was kept for replicas."""
+    for loaners, placed in ((True, 0), (False, 2)):
+        home = machine("home")
+        planner = planner_of([home], job(1, pieces=2, loaners=loaners), job(8, cores=4.0, shape="daemon", pieces=9))
+        board = planner.cluster.jobs["run-000008"]
+        board.waiting.clear()
+        planner.place_all(1.0)
+        assert planner.spare.short() and "run-000001" in planner.inside
+        assert len(home.attempts) == placed
+
+
 def test_nothing_is_rented_in_a_zone_that_is_cut_off() -> None:
     """Seen: 40 machines rented in a zone that was cut off, paid for, and never heard of."""
     machines = [machine(f"n-{n}", "ab"[n % 2]) for n in range(8)]
