--- a/pepperlatch/budget.py
+++ b/pepperlatch/budget.py
@@ -12,9 +12,11 @@
     saved: float = 0.0
     at: float = 0.0
 
+    def available(self, now: float) -> float:
+        return min(self.rate * self.burst_s, self.saved + (now - self.at) * self.rate)
+
     def wait_for(self, now: float, amount: float = 1.0, urgent: bool = False) -> float:
         """Take `amount`; the seconds to wait before using it (0 for the urgent)."""
-        self.saved = min(self.rate * self.burst_s, self.saved + (now - self.at) * self.rate)
+        self.saved = self.available(now) - amount
         self.at = now
-        self.saved -= amount
         return 0.0 if urgent or self.saved >= 0 else -self.saved / self.rate
--- a/pepperlatch/cluster.py
+++ b/pepperlatch/cluster.py
@@ -59,13 +59,13 @@
 
     # --- jobs -------------------------------------------------------------------------------------
 
-    def add_job(self, spec: JobSpec, version: int, submitted: float, done: set[int], over: bool = False) -> Job:
-        job = Job(spec, version, submitted, version <= self.token, set(done), set(done), over=over)
+    def add_job(self, spec: JobSpec, version: int, since: float, done: set[int], over: bool = False) -> Job:
+        job = Job(spec, version, since, version <= self.token, set(done), set(done), over=over)
         if not over:
             job.waiting = deque(task for task in range(spec.tasks) if task not in done)
             if not job.waiting:
                 self.unsaved.add(spec.id)
-        job.reason_since = submitted
+        job.reason_since = since
         self.jobs[spec.id] = job
         self.dirty = True
         return job
--- a/pepperlatch/constants.py
+++ b/pepperlatch/constants.py
@@ -28,13 +28,20 @@
 WATCH_WAIT_MS: Final = 2000  # ms; also the pace at which a quiet watch proves that it still works
 WATCH_GAP_S: Final = 0.03  # s; changes within it share one answer, 33 requests a second at most
 SYNC_GAP_S: Final = 0.02  # s; polls within it share one read
+TXN_CONDITIONS: Final = 4  # conditions for each change that a transaction may hold; the protocol's limit
 TXN_BYTES: Final = 40_000  # bytes; below the protocol's 64 KiB, conditions included
 LIST_PAGE: Final = 500  # items; half of the protocol's limit, answers stay small
-BITMAP_CHUNK_TASKS: Final = 32768  # tasks; 4 KiB of bits, 5.5 KiB as base64: fits the smallest values
+BITMAP_CHUNK_TASKS: Final = 32768  # tasks; of the chunks that every version reads, up to 5.5 KiB as base64
+FINE_CHUNK_TASKS: Final = 4096  # tasks; 683 bytes as base64: fits values of 1 KiB, where a chunk would not fit
+VALUE_SLACK_BYTES: Final = 64  # bytes; kept free in a value for its field names and quotes
 CREATES_AT_ONCE: Final = 3  # transactions of submissions in flight; one slow answer must not hold up all others
 SUBMIT_WAIT_S: Final = 2.0  # s; then the user is told to come back: the user's own limit is 5 s
 RETRY_AFTER_S: Final = 2  # s; told to a user whose request cannot be taken now
 
+LATER_SHARE: Final = 0.5  # share of the saved-up puts that only writes which nobody waits for leave to others
+LATER_PAUSE_S: Final = 0.1  # s; before it is looked again whether such writes have their turn
+REFUSED_PAUSE_S: Final = 10.0  # s; before a write that the state service refuses as it stands is tried again
+
 MAX_TASKS: Final = 100_000  # tasks; the protocol's limit for one job
 MAX_AMOUNT: Final = 1e9  # CPUs, GB or s; any amount above is a mistake of the sender
 RECORD_BYTES: Final = 512  # bytes; what a job's record holds besides its description
@@ -89,6 +96,11 @@
 BOOT_PATIENCE_LEAST_S: Final = 45.0  # s; least patience, for types that boot fast
 LIST_LAG_TIMES: Final = 2.0  # lists may be older than their nominal lag by this factor
 
+# --- chained jobs ---------------------------------------------------------------------------------
+STEP_S: Final = 3.0  # s; from the last task of a job to the first of the next: reports, a record, a launch, its image
+NAME_SHOWN: Final = 100  # characters of a name that no job has; it may be as long as a request
+NAMES_SHOWN: Final = 3  # jobs; more are counted only where it is said what a job waits for
+
 # --- planning -------------------------------------------------------------------------------------
 TICK_S: Final = 0.5  # s; housekeeping when nothing else happens
 PERSIST_GAP_S: Final = 0.4  # s; finished tasks of unfinished jobs are written together
--- a/pepperlatch/daemon.py
+++ b/pepperlatch/daemon.py
@@ -10,8 +10,8 @@
 import orjson
 import trio
 
+from pepperlatch import __version__, wire
 from pepperlatch import constants as c
-from pepperlatch import wire
 from pepperlatch.admin import Admin
 from pepperlatch.cloud import CloudClient, CloudTrouble
 from pepperlatch.http.client import HttpNetwork, Lost, Network, NotSent
@@ -372,6 +372,7 @@
         held = self.replica.leader
         answer: dict[str, Any] = {
             "node": self.settings.node,
+            "version": __version__,
             "leader": held[0] if held else None,
             "token": held[1] if held else None,
         }
@@ -387,6 +388,10 @@
             }
             for m in cluster.machines.values()
         ]  # fmt: skip
+        answer["jobs"] = {
+            "ready": sum(1 for j in cluster.jobs.values() if not j.over),
+            "waiting_for_others": self.replica.waiting_for_others(),
+        }
         answer["drains"] = {"begun": planner.drains_begun, "cancelled": planner.drains_cancelled}
         answer["teams"] = [
             {
@@ -404,6 +409,7 @@
     accepted = int(limit * c.SOCKET_SHARE_SERVER)
     network = HttpNetwork(limit - accepted - 20)
     node = Node(settings, network)
+    log.info("version %s", __version__)
     async with trio.open_nursery() as nursery:
         for handler, address, most in (
             (node.handle, settings.listen, accepted * 4 // 5),
--- a/pepperlatch/duty.py
+++ b/pepperlatch/duty.py
@@ -24,6 +24,7 @@
     replica: Replica
     owner: Owner
     clock: Clock
+    wall: Clock
     cluster: Cluster
     planner: Planner
     writer: Writer
--- a/pepperlatch/fleet.py
+++ b/pepperlatch/fleet.py
@@ -110,7 +110,7 @@
     """The cheapest machines, by price for what they would be used, until every need has a place."""
     chosen: list[Offer] = []
     open_offers = offers(types, blocked)
-    urgent = any(n.job.spec.kind is Kind.SERVICE or n.job.spec.deadline_s for n in needs if n.count > 0)
+    urgent = any(n.job.spec.kind is Kind.SERVICE or n.job.due_at is not None for n in needs if n.count > 0)
     for need in needs:
         while need.count > 0 and len(chosen) < most:
             candidates = _candidates(need, open_offers)
--- a/pepperlatch/leader.py
+++ b/pepperlatch/leader.py
@@ -1,6 +1,7 @@
 """What a node does while it leads: carries out what the cluster and the planner decide."""
 
 import logging
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -53,7 +54,7 @@
         self.planner = Planner(self.cluster, Tuning(replica.tuning[0]))
         self._tuning_version = replica.tuning[1]
         self.writer = Writer(state, term, settings.params.state.txn_ops)
-        self._duty = Duty(settings, term, replica, owner, clock, self.cluster, self.planner, self.writer)
+        self._duty = Duty(settings, term, replica, owner, clock, wall, self.cluster, self.planner, self.writer)
         self._rentals = Rentals(self._duty, cloud)
         self._records = Records(self._duty, self._rentals.off_hire)
         self._health = Health(self._duty, workers, peers, self._direct_report)
@@ -101,6 +102,8 @@
         for job_id, entry in self._replica.jobs.items():
             if entry.state not in wire.FINAL:
                 self._add_job(job_id)
+            elif entry.record.state == entry.state.value:
+                self._records.tidy(job_id)
         for pair in pairs:
             if pair.key.startswith(store.MACHINE):
                 self._load_machine(pair.key[len(store.MACHINE) :], wire.convert(pair.value, store.MachineRecord), now)
@@ -131,14 +134,16 @@
         return entry.record.spec if entry is not None and entry.state in wire.FINAL else None
 
     def _add_job(self, job_id: str) -> None:
+        """Only a job that is ready becomes known to the planner: what waits holds no part of anything."""
         entry = self._replica.jobs[job_id]
-        if entry.record.spec is None:
+        spec, chain = entry.record.spec, self._replica.chain
+        if spec is None or not self._replica.ready(job_id):
             return
-        chunks = self._replica.done.get(job_id, {})
-        done = {task for chunk, (bits, _) in chunks.items() for task in store.done_tasks(bits, chunk)}
-        submitted = self._clock() - max(0.0, self._wall() - entry.record.at)
-        spec = entry.record.spec
-        self.cluster.add_job(spec, entry.version, submitted, done)
+        since = self._clock() - max(0.0, self._wall() - chain.ready_at(job_id, entry.record.at))
+        newest = max([entry.version, *(self._replica.jobs[name].version for name in chain.needs.get(job_id, ()))])
+        job = self.cluster.add_job(spec, entry.version, since, self._replica.done_tasks(job_id))
+        job.old = newest <= self.term.token
+        self._stand(job_id)
         log.info(
             "job %s: %s %s of %d x %g cpus",
             job_id,
@@ -148,6 +153,16 @@
             spec.cpus,
         )
 
+    def _stand(self, job_id: str) -> None:
+        """A job works with the rank and the due time of whatever needs it, if those are stronger than its own."""
+        job, standing = self.cluster.jobs.get(job_id), self._replica.chain.standing(job_id)
+        if job is None or standing is None:
+            return
+        due_at = self._clock() + standing.due - self._wall() if standing.due < math.inf else None
+        if (job.rank, job.due_at is None) != (standing.rank, due_at is None):
+            self.cluster.dirty = True
+        job.rank, job.due_at = standing.rank, due_at
+
     def on_jobs(self, touched: set[str]) -> None:
         """The watch has shown changes of these jobs."""
         if not self.ready:
@@ -157,10 +172,14 @@
             known = self.cluster.jobs.get(job_id)
             if entry.state in wire.FINAL:
                 self.cluster.end_job(job_id, self._clock())
+                if entry.record.state == entry.state.value:
+                    self._records.tidy(job_id)
             elif known is None:
                 self._add_job(job_id)
             else:
                 known.version = entry.version
+        for job_id in self._replica.chain.before(touched):
+            self._stand(job_id)
         if self._replica.tuning[1] != self._tuning_version:
             self._tuning_version = self._replica.tuning[1]
             self.planner.tuning = Tuning(self._replica.tuning[0])
--- a/pepperlatch/model.py
+++ b/pepperlatch/model.py
@@ -6,7 +6,7 @@
 
 from pepperlatch.constants import EMPTYING_SHARE
 from pepperlatch.constants import EPS as EPS
-from pepperlatch.wire import JobSpec, Kind, MachineType, TaskReport, TaskState
+from pepperlatch.wire import RANK, JobSpec, Kind, MachineType, TaskReport, TaskState
 
 
 class Phase(Enum):
@@ -52,7 +52,7 @@
 class Job:
     spec: JobSpec
     version: int
-    submitted: float
+    since: float  # when it was submitted, or the last job that it needs was done
     old: bool  # older than the term: an earlier leader may have started its tasks
     done: set[int] = field(default_factory=set)
     saved: set[int] = field(default_factory=set)  # finished tasks that the state service holds
@@ -68,6 +68,14 @@
     finishing: bool = False  # the write that makes it done is on its way
     ran: bool = False  # a task of it has run: a lost replica is restored wherever there is room
     over: bool = False  # cancelled or done: what still runs has to go
+    rank: int = -1  # of its priority, or of a stronger one of a job that needs it
+    due_at: float | None = None  # by when it should be done, so that what needs it can be, too
+
+    def __post_init__(self) -> None:
+        if self.rank < 0:
+            self.rank = RANK[self.spec.priority]
+        if self.due_at is None and self.spec.deadline_s:
+            self.due_at = self.since + self.spec.deadline_s
 
     def running(self) -> int:
         return sum(1 for a in self.live.values() if a.state is TaskState.RUNNING)
--- a/pepperlatch/planner.py
+++ b/pepperlatch/planner.py
@@ -15,9 +15,10 @@
 from pepperlatch.placement import Candidates
 from pepperlatch.supply import Spare
 from pepperlatch.tuning import Tuning
-from pepperlatch.wire import RANK, JobSpec, Kind
+from pepperlatch.wire import RANK, JobSpec, Kind, Priority
 
 log = logging.getLogger(__name__)
+URGENT = RANK[Priority.HIGH]  # and stronger: may preempt also beyond a guarantee
 
 
 @dataclass(slots=True)
@@ -63,7 +64,7 @@
         groups: dict[tuple[str, int], list[int]] = {}
         for place, job in enumerate(order):
             if not job.ran:
-                groups.setdefault((job.spec.team, RANK[job.spec.priority]), []).append(place)
+                groups.setdefault((job.spec.team, job.rank), []).append(place)
         for places in groups.values():
             theirs = sorted((order[place] for place in places), key=lambda j: due[j.spec.id])
             for place, job in zip(places, theirs, strict=True):
@@ -119,7 +120,7 @@
         if (
             spec.kind is Kind.SERVICE
             and not job.ran
-            and now - job.submitted < c.PIN_WAIT_S
+            and now - job.since < c.PIN_WAIT_S
             and self._cheap_to_be_had(spec, now)
         ):
             cheapest = self._cheapest(spec)
@@ -136,7 +137,7 @@
         spec = job.spec
         if spec.kind is not Kind.ARRAY or not spec.spot or spec.id in self.inside or self._turns(job, now) <= 1:
             return False
-        waited = now - job.submitted
+        waited = now - job.since
         return waited < c.THRIFT_SHARE * (waited + supply.slack_s(job, self.cluster.params.objectives, now))
 
     def _cheapest(self, spec: JobSpec) -> float:
@@ -197,7 +198,7 @@
             job = need.job
             if left <= 0 or job.spec.kind is Kind.GANG:
                 return
-            if (RANK[job.spec.priority] > 1 and job.spec.id not in inside) or now < job.preempt_after:
+            if (job.rank > URGENT and job.spec.id not in inside) or now < job.preempt_after:
                 continue
             if self._place_key(job) >= last:  # nothing runs that would be placed later
                 continue
@@ -214,7 +215,7 @@
 
     def _place_key(self, job: Job) -> tuple[bool, int]:
         """Jobs are placed in this order, by age within it."""
-        return (job.spec.id not in self.inside, RANK[job.spec.priority])
+        return (job.spec.id not in self.inside, job.rank)
 
     def _may_stop(self, victim: Attempt, job: Job, inside: set[str]) -> bool:
         """Only what would also be placed after the job: else it takes the room back, again and again."""
@@ -223,7 +224,7 @@
             return False
         if self._place_key(victim.job) <= self._place_key(job):
             return False
-        if RANK[other.priority] > RANK[job.spec.priority]:
+        if victim.job.rank > job.rank:
             return True
         return guaranteed and other.team != job.spec.team and self.cluster.quota.over_guarantee(other.team)
 
--- a/pepperlatch/records.py
+++ b/pepperlatch/records.py
@@ -19,6 +19,7 @@
         self._duty = duty
         self._on_recorded = on_recorded
         self._persist_at = 0.0
+        self._tidied: set[str] = set()
 
     def record(self, now: float) -> None:
         for machine in self._duty.cluster.to_record:
@@ -54,9 +55,8 @@
         """The job is over; nobody is told before the state service holds that."""
         job_id = job.spec.id
         job.finishing = True
-        record = store.JobRecord(JobState.DONE.value, tasks=job.spec.tasks)
+        record = store.JobRecord(JobState.DONE.value, tasks=job.spec.tasks, ended=self._duty.wall())
         changes = [wire.put(store.JOB + job_id, wire.to_plain(record))]
-        changes += [wire.delete(store.done_key(job_id, chunk)) for chunk in self._duty.replica.done.get(job_id, {})]
 
         def done(applied: bool) -> None:
             log.info("job %s done%s", job_id, "" if applied else ", but it was changed meanwhile")
@@ -65,25 +65,37 @@
         self._duty.writer.add(Write(changes, done, [wire.when(store.JOB + job_id, job.version)]))
         self._duty.cluster.unsaved.discard(job_id)
 
+    def tidy(self, job_id: str) -> None:
+        """What was kept of a job that is over goes in portions, after its final state is stored and never before."""
+        if job_id not in self._tidied:
+            keys = self._duty.replica.leftovers(job_id)
+            if keys:
+                self._tidied.add(job_id)
+            for key in keys:
+                self._duty.writer.add(Write([wire.delete(key)], lambda applied: None), later=True)
+
     def _save_tasks(self, job: Job) -> None:
-        """Each chunk is conditional on its version, so that a late older write cannot undo a newer."""
-        job_id = job.spec.id
+        """Each value is conditional on its version, so that a late older write cannot undo a newer.
+
+        As many at once as one transaction takes; the rest follows.
+        """
         job.finishing = True
-        tasks = set(job.done)
-        chunks = {task // c.BITMAP_CHUNK_TASKS for task in tasks - job.saved}
-        held = self._duty.replica.done.get(job_id, {})
-        when = [wire.when(store.done_key(job_id, n), held[n][1] if n in held else 0) for n in chunks]
-        changes = [wire.put(store.done_key(job_id, n), store.bitmap(tasks, n)) for n in chunks]
+        limits = self._duty.settings.params.state
+        replica = self._duty.replica
+        savings = store.savings(replica, job.spec.id, job.done, job.saved, limits.value_kb)
+        savings = savings[: self._duty.writer.later_most()]
+        when = [wire.when(saving.key, saving.version) for saving in savings]
+        changes = [wire.put(saving.key, saving.value) for saving in savings]
+        tasks = set().union(*(saving.tasks for saving in savings))
 
         def done(applied: bool) -> None:
             self._duty.owner.post(lambda: self._saved(job, tasks if applied else set()))
 
-        self._duty.writer.add(Write(changes, done, when))
+        self._duty.writer.add(Write(changes, done, when), later=True)
 
     def _saved(self, job: Job, tasks: set[int]) -> None:
         job.finishing = False
-        for chunk, (bits, _) in self._duty.replica.done.get(job.spec.id, {}).items():
-            tasks |= store.done_tasks(bits, chunk)
+        tasks |= self._duty.replica.done_tasks(job.spec.id)
         job.saved |= tasks
         job.done |= tasks
         if len(job.saved) < len(job.done) or len(job.done) == job.spec.tasks:
--- a/pepperlatch/rentals.py
+++ b/pepperlatch/rentals.py
@@ -129,7 +129,9 @@
                 self._duty.cluster.dirty = True
         held = {kind.name: kind.zones for kind in self._duty.replica.types}
         if held != {kind.name: kind.zones for kind in types}:
-            self._duty.writer.add(Write([wire.put(store.TYPES, {"types": wire.to_plain(types)})], lambda ok: None))
+            value_kb = self._duty.settings.params.state.value_kb
+            for change in store.type_changes(types, len(self._duty.replica.type_pieces), value_kb):
+                self._duty.writer.add(Write([change], lambda ok: None))
 
     async def list_loop(self) -> None:
         while not self._duty.term.over:
--- a/pepperlatch/settings.py
+++ b/pepperlatch/settings.py
@@ -46,11 +46,31 @@
     cancel_s: float
 
 
+class StateNext(msgspec.Struct):
+    """Limits that the state service will have from some moment on, without notice."""
+
+    rps: float | None = None
+    write_rps: float | None = None
+    value_kb: float | None = None
+    txn_ops: int | None = None
+
+
 class State(msgspec.Struct):
     rps: float
     write_rps: float
     value_kb: float
     txn_ops: int
+    next: StateNext | None = None
+
+    def lowest(self) -> "State":
+        """What holds before and after the change: kept to from the start, the change needs no noticing."""
+        after = self.next or StateNext()
+        return State(
+            min(self.rps, after.rps or self.rps),
+            min(self.write_rps, after.write_rps or self.write_rps),
+            min(self.value_kb, after.value_kb or self.value_kb),
+            min(self.txn_ops, after.txn_ops or self.txn_ops),
+        )
 
 
 class Cloud(msgspec.Struct):
@@ -92,6 +112,7 @@
     except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
         raise SettingsError(str(error)) from None
     _check(settings)
+    settings.params.state = settings.params.state.lowest()
     return settings
 
 
@@ -119,7 +140,12 @@
         "params.workers.lease_s": params.workers.lease_s, "params.state.rps": params.state.rps,
         "params.state.write_rps": params.state.write_rps, "params.state.txn_ops": params.state.txn_ops,
         "params.cloud.rps": params.cloud.rps,
+        "params.state.value_kb": params.state.value_kb,
     }  # fmt: skip
+    for field in StateNext.__struct_fields__ if params.state.next else ():
+        value = getattr(params.state.next, field)
+        if value is not None:
+            positive[f"params.state.next.{field}"] = value
     for field, value in positive.items():
         if not value > 0:
             raise SettingsError(f"{field} must be above 0, not {value}")
--- a/pepperlatch/state.py
+++ b/pepperlatch/state.py
@@ -18,6 +18,10 @@
     """The request was surely not carried out: refused, or no connection."""
 
 
+class Refused(Away):
+    """The service will not carry it out as it stands, however often it is asked."""
+
+
 class Unsure(Exception):
     """No answer: it may have been carried out, or may yet be."""
 
@@ -62,6 +66,17 @@
         """How many puts this node's share allows within that time."""
         return max(1, int(self._writes.rate * (seconds + self._writes.burst_s)))
 
+    def writes_spare(self) -> int:
+        """How many puts may be made now that nobody waits for, with the rest kept for those that somebody does."""
+        writes = self._writes
+        saved = writes.available(self._clock())
+        full = saved >= writes.rate * writes.burst_s
+        return max(int(full), int(saved - c.LATER_SHARE * writes.rate * writes.burst_s))
+
+    def later_most(self) -> int:
+        """How many changes a write that nobody waits for may have, to find its turn at all."""
+        return max(1, int((1 - c.LATER_SHARE) * self._writes.rate * self._writes.burst_s))
+
     def reachable(self) -> bool:
         return self.good_at >= self.bad_at
 
@@ -131,6 +146,8 @@
             return Outcome(wire.revision_of(answer), wire.failed_keys(answer))
         if isinstance(answer, dict) and answer.get("error") == "no such lease":
             raise LeaseGone
+        if status == 400:
+            raise Refused(f"transaction: {answer}")
         raise Away(f"transaction: {status} {answer}")
 
     async def grant(self, ttl_ms: int) -> int:
--- a/pepperlatch/store.py
+++ b/pepperlatch/store.py
@@ -2,19 +2,26 @@
 
 `j/` is watched by all: the leader's key, jobs, finished tasks, machine types, operators' settings.
 `f/` is the leader's alone: hires and machines. It is read on taking over only.
+
+Two versions run side by side while a new one is rolled out, so a record only ever gains optional fields, and a
+key below a prefix that an earlier version knows keeps its meaning. What one value cannot hold stands in pieces
+below prefixes of their own (`j/part/`, `j/fine/`, `j/types/`), which earlier versions ignore.
 """
 
 import base64
+import math
 import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
+import orjson
 import trio
 
 from pepperlatch import constants as c
 from pepperlatch import wire
+from pepperlatch.prerequisites import Prerequisites, Standing
 from pepperlatch.state import Away, StateClient, Unsure
 
 WATCHED = "j/"
@@ -23,6 +30,8 @@
 TUNING = "j/tuning"
 JOB = "j/job/"
 DONE = "j/done/"
+FINE = "j/fine/"
+PART = "j/part/"
 FLEET = "f/"
 HIRE = "f/hire/"
 MACHINE = "f/machine/"
@@ -34,10 +43,6 @@
     return isinstance(text, str) and _JOB_ID.fullmatch(text) is not None
 
 
-def done_key(job_id: str, chunk: int) -> str:
-    return f"{DONE}{job_id}/{chunk}"
-
-
 class JobRecord(msgspec.Struct, omit_defaults=True):
     """What lasts of a job; the description is dropped once the job is over."""
 
@@ -45,6 +50,8 @@
     spec: wire.JobSpec | None = None
     tasks: int = 0
     at: float = 0.0  # time of day of the submission, by the accepting node's clock
+    parts: int = 0  # pieces below `PART` that hold the description instead
+    ended: float = 0.0  # time of day when it was done, by the leader's clock; 0 in records of version 0.1
 
 
 class MachineRecord(msgspec.Struct):
@@ -64,14 +71,16 @@
 
 @dataclass(slots=True)
 class Entry:
-    """A watched job: its record, the version of its key and the revision that created it (if seen)."""
+    """A watched job: its record, the version of its key, and the cancelled job (itself, too) that ends it, if any."""
 
     record: JobRecord
     version: int
+    through: str | None = None
 
     @property
     def state(self) -> wire.JobState:
-        return wire.JobState(self.record.state)
+        """The one place that says whether a job is over. What needs a cancelled job is cancelled by that alone."""
+        return wire.JobState.CANCELLED if self.through is not None else wire.JobState(self.record.state)
 
 
 @dataclass(slots=True)
@@ -81,10 +90,12 @@
     revision: int = 0
     loaded: bool = False
     jobs: dict[str, Entry] = field(default_factory=dict)
-    done: dict[str, dict[int, tuple[bytes, int]]] = field(default_factory=dict)
+    done: dict[str, dict[int, tuple[bytes, int]]] = field(default_factory=dict)  # chunks, as every version writes them
+    fine: dict[str, dict[int, tuple[bytes, int]]] = field(default_factory=dict)  # finer ones, for small values
+    parts: dict[str, dict[int, str]] = field(default_factory=dict)  # of long descriptions
+    chain: Prerequisites = field(default_factory=Prerequisites)
     leader: tuple[str, int] | None = None
-    types: list[wire.MachineType] = field(default_factory=list)
-    types_version: int = 0
+    type_pieces: dict[int, list[wire.MachineType]] = field(default_factory=dict)
     tuning: tuple[dict[str, Any], int] = field(default_factory=lambda: ({}, 0))
     _versions: dict[str, int] = field(default_factory=dict)
 
@@ -97,8 +108,9 @@
         touched: set[str] = set()
         if self.leader is not None and LEADER not in present:
             self.leader = None
-        for job_id in [key for key in self.done if not any(done_key(key, n) in present for n in self.done[key])]:
-            del self.done[job_id]
+        for held, prefix in ((self.done, DONE), (self.fine, FINE), (self.parts, PART)):
+            for job_id in [job for job in held if not any(f"{prefix}{job}/{n}" in present for n in held[job])]:
+                del held[job_id]
         for pair in pairs:
             touched |= self._put(pair.key, pair.value, pair.version)
         self.revision = max(self.revision, revision)
@@ -121,45 +133,197 @@
         self._versions[key] = version
         if key.startswith(JOB):
             job_id = key[len(JOB) :]
-            self.jobs[job_id] = Entry(wire.convert(value, JobRecord), version)
-            return {job_id}
+            self.jobs[job_id] = Entry(wire.convert(value, JobRecord), version, self.chain.through.get(job_id))
+            return self._job_changed(job_id)
+        if key.startswith(PART):
+            job_id, number = _numbered(key, PART)
+            self.parts.setdefault(job_id, {})[number] = value["text"]
+            return self._job_changed(job_id) if job_id in self.jobs else set()
         if key.startswith(DONE):
-            job_id, _, chunk = key[len(DONE) :].rpartition("/")
-            self.done.setdefault(job_id, {})[int(chunk)] = (base64.b64decode(value["bits"]), version)
+            job_id, chunk = _numbered(key, DONE)
+            self.done.setdefault(job_id, {})[chunk] = (base64.b64decode(value["bits"]), version)
+        elif key.startswith(FINE):
+            job_id, chunk = _numbered(key, FINE)
+            self.fine.setdefault(job_id, {})[chunk] = (base64.b64decode(value["bits"]), version)
         elif key == LEADER:
             self.leader = (value["node"], version)
-        elif key == TYPES:
-            self.types, self.types_version = wire.convert(value["types"], list[wire.MachineType]), version
+        elif key == TYPES or key.startswith(TYPES + "/"):
+            number = int(key[len(TYPES) + 1 :] or 0)
+            self.type_pieces[number] = wire.convert(value["types"], list[wire.MachineType])
         elif key == TUNING:
             self.tuning = (value, version)
         return set()
 
+    def _job_changed(self, job_id: str) -> set[str]:
+        """Draw the consequences for all that needs the job; the jobs touched."""
+        entry = self.jobs[job_id]
+        record = entry.record
+        if record.spec is None and record.parts:
+            record.spec = joined(self.parts.get(job_id, {}), record.parts)
+        if entry.state is wire.JobState.DONE:
+            return {job_id} | self.chain.finish(job_id, record.ended)
+        if record.state == wire.JobState.CANCELLED.value:
+            over = self.chain.cancel(job_id, job_id)
+        elif record.spec is not None:
+            over = self.chain.add(job_id, record.spec.needs or (), _own(record.spec, record.at), record.spec.estimate_s)
+        else:
+            return {job_id}
+        for name in over:
+            self.jobs[name].through = self.chain.through[name]
+        return {job_id} | over
+
     def _delete(self, key: str, version: int) -> None:
         if self._versions.get(key, 0) >= version:
             return
         if key == LEADER:
             self.leader = None
             self._versions[key] = version
-        elif key.startswith(DONE):
-            job_id, _, chunk = key[len(DONE) :].rpartition("/")
-            self.done.get(job_id, {}).pop(int(chunk), None)
-            self._versions.pop(key, None)
+            return
+        for held, prefix in ((self.done, DONE), (self.fine, FINE), (self.parts, PART)):
+            if key.startswith(prefix):
+                job_id, number = _numbered(key, prefix)
+                held.get(job_id, {}).pop(number, None)
+                self._versions.pop(key, None)
+
+    # --- what follows from it ---------------------------------------------------------------------
+
+    @property
+    def types(self) -> list[wire.MachineType]:
+        return [kind for number in sorted(self.type_pieces) for kind in self.type_pieces[number]]
+
+    def ready(self, job_id: str) -> bool:
+        """Whether the records of all jobs that it needs say done; nobody's belief counts before that."""
+        return not self.chain.waits_for(job_id)
+
+    def waiting_for_others(self) -> int:
+        return sum(1 for job in self.chain.needs if self.jobs[job].state not in wire.FINAL and not self.ready(job))
+
+    def done_tasks(self, job_id: str) -> set[int]:
+        tasks: set[int] = set()
+        for held, size in ((self.done, c.BITMAP_CHUNK_TASKS), (self.fine, c.FINE_CHUNK_TASKS)):
+            for chunk, (bits, _) in held.get(job_id, {}).items():
+                tasks |= tasks_in(bits, chunk * size)
+        return tasks
+
+    def leftovers(self, job_id: str) -> list[str]:
+        """Keys of a job that is over which nobody needs any more."""
+        return [
+            f"{prefix}{job_id}/{number}"
+            for held, prefix in ((self.done, DONE), (self.fine, FINE), (self.parts, PART))
+            for number in held.get(job_id, {})
+        ]
+
+
+def _numbered(key: str, prefix: str) -> tuple[str, int]:
+    job_id, _, number = key[len(prefix) :].rpartition("/")
+    return job_id, int(number)
+
+
+def _own(spec: wire.JobSpec, at: float) -> Standing:
+    return Standing(wire.RANK[spec.priority], at + spec.deadline_s if spec.deadline_s else math.inf)
+
 
+# --- values that have to fit ----------------------------------------------------------------------
 
-def done_tasks(bits: bytes, chunk: int) -> set[int]:
-    base = chunk * c.BITMAP_CHUNK_TASKS
-    return {base + 8 * byte + bit for byte, value in enumerate(bits) if value for bit in range(8) if value >> bit & 1}
 
+def fits(value: Any, value_kb: float) -> bool:
+    return len(orjson.dumps(value)) <= value_kb * 1024 - c.VALUE_SLACK_BYTES
 
-def bitmap(tasks: set[int], chunk: int) -> dict[str, str]:
-    base = chunk * c.BITMAP_CHUNK_TASKS
-    mine = [task - base for task in tasks if base <= task < base + c.BITMAP_CHUNK_TASKS]
+
+def parts_of(spec: wire.JobSpec, value_kb: float) -> list[str]:
+    """The description as text in pieces that each fit one value; none if the job's own record can hold it."""
+    plain = orjson.dumps(wire.to_plain(spec))
+    if len(plain) <= value_kb * 1024 - c.RECORD_BYTES:
+        return []
+    text = base64.b64encode(plain).decode("ascii")
+    size = int(value_kb * 1024) - c.VALUE_SLACK_BYTES
+    return [text[start : start + size] for start in range(0, len(text), size)]
+
+
+def joined(parts: dict[int, str], count: int) -> wire.JobSpec | None:
+    """The description, if all its pieces are there."""
+    if any(number not in parts for number in range(count)):
+        return None
+    text = "".join(parts[number] for number in range(count))
+    spec: wire.JobSpec = wire.convert(orjson.loads(base64.b64decode(text)), wire.JobSpec)
+    return spec
+
+
+def created(spec: wire.JobSpec, parts: list[str], at: float) -> list[dict[str, Any]]:
+    """The changes that make a job known."""
+    record = JobRecord(wire.JobState.QUEUED.value, None if parts else spec, spec.tasks, at, len(parts))
+    changes = [wire.put(JOB + spec.id, wire.to_plain(record))]
+    return changes + [wire.put(f"{PART}{spec.id}/{n}", {"text": text}) for n, text in enumerate(parts)]
+
+
+def cancelled(record: JobRecord, value_kb: float) -> JobRecord:
+    """What stays of a cancelled job: of a long description only what its last tasks are counted by."""
+    held = JobRecord(wire.JobState.CANCELLED.value, record.spec, record.tasks, record.at)
+    if record.spec is not None and not fits(wire.to_plain(held), value_kb):
+        held.spec = msgspec.structs.replace(record.spec, types=None, needs=None, zone=None, image="", job_class="")
+    return held
+
+
+def type_changes(types: list[wire.MachineType], known: int, value_kb: float) -> list[dict[str, Any]]:
+    """The machine types, in as many values as it takes; `known` pieces are there already."""
+    pieces: list[list[wire.MachineType]] = [[]]
+    for kind in types:
+        if pieces[-1] and not fits({"types": wire.to_plain([*pieces[-1], kind])}, value_kb):
+            pieces.append([])
+        pieces[-1].append(kind)
+    pieces += [[]] * (known - len(pieces))
+    keys = [TYPES, *(f"{TYPES}/{n}" for n in range(1, len(pieces)))]
+    return [wire.put(key, {"types": wire.to_plain(piece)}) for key, piece in zip(keys, pieces, strict=True)]
+
+
+def tasks_in(bits: bytes, first: int) -> set[int]:
+    return {first + 8 * byte + bit for byte, value in enumerate(bits) if value for bit in range(8) if value >> bit & 1}
+
+
+def bitmap(tasks: set[int], first: int, count: int) -> dict[str, str]:
+    """Which of the tasks `first` to `first + count - 1` are among the given."""
+    mine = [task - first for task in tasks if first <= task < first + count]
     bits = bytearray(max(mine, default=-1) // 8 + 1)
     for task in mine:
         bits[task // 8] |= 1 << task % 8
     return {"bits": base64.b64encode(bits).decode("ascii")}
 
 
+@dataclass(slots=True)
+class Saving:
+    """One value of finished tasks: its key, the version it follows, and the tasks it holds."""
+
+    key: str
+    version: int
+    value: dict[str, str]
+    tasks: set[int]
+
+
+def savings(replica: Replica, job_id: str, done: set[int], saved: set[int], value_kb: float) -> list[Saving]:
+    """The values that keep what is done and not saved yet.
+
+    The chunks that every version reads, where they fit; finer ones else. A chunk that was stored while values
+    could be larger stays as it is.
+    """
+    found: list[Saving] = []
+    for chunk in sorted({task // c.BITMAP_CHUNK_TASKS for task in done - saved}):
+        saving = _saving(replica.done, DONE, job_id, done, chunk, c.BITMAP_CHUNK_TASKS)
+        if fits(saving.value, value_kb):
+            found.append(saving)
+            continue
+        fine = {task // c.FINE_CHUNK_TASKS for task in (done - saved) & saving.tasks}
+        found += [_saving(replica.fine, FINE, job_id, done, n, c.FINE_CHUNK_TASKS) for n in sorted(fine)]
+    return found
+
+
+def _saving(
+    held: dict[str, dict[int, tuple[bytes, int]]], prefix: str, job_id: str, done: set[int], chunk: int, size: int
+) -> Saving:
+    version = held[job_id][chunk][1] if chunk in held.get(job_id, {}) else 0
+    tasks = {task for task in done if chunk * size <= task < (chunk + 1) * size}
+    return Saving(f"{prefix}{job_id}/{chunk}", version, bitmap(tasks, chunk * size, size), tasks)
+
+
 class Watched:
     """Keeps the replica current, and answers reads that must not be older than their question."""
 
--- a/pepperlatch/supply.py
+++ b/pepperlatch/supply.py
@@ -31,9 +31,9 @@
 
 def slack_s(job: Job, objectives: Iterable[Objective], now: float) -> float:
     """How much longer the job's tasks may wait before an aim of its class is missed."""
-    waited, spec = now - job.submitted, job.spec
+    waited, spec = now - job.since, job.spec
     run_s = spec.estimate_s * c.ESTIMATE_CAUTION
-    slack = [spec.deadline_s - waited - run_s] if spec.deadline_s else []
+    slack = [job.due_at - now - run_s] if job.due_at is not None else []
     for aim in objectives:
         if aim.job_class == spec.job_class and aim.within_s is not None:
             slack.append(aim.within_s - waited - (run_s if aim.kind == "finished" else 0.0))
@@ -58,8 +58,8 @@
     What is late anyway yields to what is not yet: in a crowd that nobody can serve in time, strict order
     of arrival would make everyone late. After twice its longest aim a job goes first again.
     """
-    spec, waited = job.spec, now - job.submitted
-    ends = [spec.deadline_s - spec.estimate_s] if spec.deadline_s else []
+    spec, waited = job.spec, now - job.since
+    ends = [job.due_at - job.since - spec.estimate_s] if job.due_at is not None else []
     for aim in objectives:
         if aim.within_s is None:
             continue
@@ -68,8 +68,8 @@
         elif aim.kind == "guarantee" and inside:
             ends.append(aim.within_s)
     if ends and waited > c.LOST_AIMS_TIMES * max(ends):
-        return job.submitted
-    return job.submitted + min((end for end in ends if end > waited + c.START_S), default=math.inf)
+        return job.since
+    return job.since + min((end for end in ends if end > waited + c.START_S), default=math.inf)
 
 
 def absorb(need: Need, places: list[Place], patience_s: float) -> None:
--- a/pepperlatch/users.py
+++ b/pepperlatch/users.py
@@ -16,9 +16,9 @@
 from pepperlatch.model import allowed_on, fits_type
 from pepperlatch.quota import can_ever_run
 from pepperlatch.settings import Settings
-from pepperlatch.state import Away, StateClient, Unsure
+from pepperlatch.state import Away, Refused, StateClient, Unsure
 from pepperlatch.store import Entry, Replica, Watched
-from pepperlatch.wire import JobSpec, JobState, MachineType
+from pepperlatch.wire import JobSpec, JobState, Kind, MachineType
 
 log = logging.getLogger(__name__)
 
@@ -46,6 +46,10 @@
     spec: JobSpec
     settled: trio.Event = field(default_factory=trio.Event)
     created: bool | None = None
+    parts: list[str] = field(default_factory=list)  # of a description that one value cannot hold
+
+    def changes(self, at: float) -> list[dict[str, Any]]:
+        return store.created(self.spec, self.parts, at)
 
 
 def parse_job(body: bytes) -> Any:
@@ -79,13 +83,7 @@
     )
     if not all(math.isfinite(amount) and 0 <= amount <= c.MAX_AMOUNT for amount in amounts):
         raise Malformed("an amount is negative or not finite")
-    return spec
-
-
-def check_size(spec: JobSpec, value_kb: float) -> None:
-    """A description that one value cannot hold would fail, and with it all that is committed together with it."""
-    if len(orjson.dumps(wire.to_plain(spec))) > value_kb * 1024 - c.RECORD_BYTES:
-        raise Malformed("the description is too long")
+    return msgspec.structs.replace(spec, needs=list(dict.fromkeys(spec.needs or ())) or None)
 
 
 def check_possible(spec: JobSpec, settings: Settings, types: list[MachineType]) -> None:
@@ -98,6 +96,11 @@
         raise Impossible("a task fits no allowed machine type")
 
 
+def _names(job_ids: list[str]) -> str:
+    more = len(job_ids) - c.NAMES_SHOWN
+    return ", ".join(job_ids[: c.NAMES_SHOWN]) + (f" and {more} more" if more > 0 else "")
+
+
 def later() -> Response:
     return Response(503, {"error": "cannot be decided now"}, {"Retry-After": str(c.RETRY_AFTER_S)})
 
@@ -153,12 +156,33 @@
             return await self._known(job_id) or Response(400, {"error": str(error)})
         except Impossible as error:
             return await self._known(job_id) or Response(422, {"error": str(error)})
-        return await self._create(spec) if spec is not None else await self._known(job_id) or later()
+        if spec is None:
+            return await self._known(job_id) or later()
+        wrong = await self._wrong_need(spec)
+        if wrong is not None:
+            return await self._known(job_id) or Response(422, {"error": wrong})
+        return await self._create(spec)
+
+    async def _wrong_need(self, spec: JobSpec) -> str | None:
+        """What is wrong with the jobs named; only a current reading may say that one was never accepted."""
+        needs = spec.needs or []
+        if any(name not in self._replica.jobs for name in needs):
+            await self._watched.sync()
+        for name in needs:
+            entry = self._replica.jobs.get(name)
+            if entry is None:
+                return f"{name[: c.NAME_SHOWN]}, which it needs, was never accepted"
+            if entry.state not in wire.FINAL and entry.record.spec and entry.record.spec.kind is Kind.SERVICE:
+                return f"{name}, which it needs, is a service and never done"
+        return None
 
     def _check(self, value: Any) -> JobSpec | None:
         """The sound description; None if this node cannot tell because it knows no machine types yet."""
         spec = check_job(value)
-        check_size(spec, self._settings.params.state.value_kb)
+        limits = self._settings.params.state
+        parts = store.parts_of(spec, limits.value_kb)
+        if len(parts) >= limits.txn_ops or sum(map(len, parts)) > c.TXN_BYTES:
+            raise Malformed("the description is longer than what is stored at once")
         types = self._replica.types or self.types
         if not types:
             return None
@@ -179,7 +203,8 @@
     async def _create(self, spec: JobSpec) -> Response:
         if len(self._queue) >= self._state.writes_within(c.SUBMIT_WAIT_S):  # its turn would not come in time
             return later()
-        submission = self._queue.setdefault(spec.id, _Submission(spec))  # the same id twice in flight: one conflicts
+        parts = store.parts_of(spec, self._settings.params.state.value_kb)
+        submission = self._queue.setdefault(spec.id, _Submission(spec, parts=parts))  # twice in flight: one conflicts
         self._wake.set()
         with trio.move_on_after(c.SUBMIT_WAIT_S):
             await submission.settled.wait()
@@ -203,10 +228,11 @@
 
     def _take(self) -> list[_Submission]:
         batch: list[_Submission] = []
-        size = 0
+        changes = size = 0
         for submission in self._queue.values():
-            size += c.RECORD_BYTES + len(orjson.dumps(wire.to_plain(submission.spec)))
-            if batch and (len(batch) >= self._settings.params.state.txn_ops or size > c.TXN_BYTES):
+            changes += 1 + len(submission.parts)
+            size += c.RECORD_BYTES + sum(map(len, submission.parts)) + len(orjson.dumps(wire.to_plain(submission.spec)))
+            if batch and (changes > self._settings.params.state.txn_ops or size > c.TXN_BYTES):
                 break
             batch.append(submission)
         for submission in batch:
@@ -224,10 +250,16 @@
     async def _commit(self, batch: list[_Submission]) -> None:
         while batch:
             keys = [store.JOB + s.spec.id for s in batch]
-            records = [store.JobRecord(JobState.QUEUED.value, s.spec, s.spec.tasks, self._wall()) for s in batch]
-            writes = [wire.put(key, wire.to_plain(record)) for key, record in zip(keys, records, strict=True)]
+            writes = [change for s in batch for change in s.changes(self._wall())]
             try:
                 outcome = await self._state.txn([wire.when(key, 0) for key in keys], writes)
+            except Refused as error:
+                if len(batch) == 1:
+                    log.error("%s is refused: %s", keys[0], error)
+                    return
+                for submission in batch:  # one of them is at fault, and must not take the others along
+                    await self._commit([submission])
+                return
             except (Away, Unsure) as error:
                 log.debug("submissions put off: %s", error)
                 return
@@ -245,10 +277,17 @@
     def _describe(self, job_id: str, entry: Entry) -> dict[str, Any]:
         tasks = entry.record.tasks
         if entry.state in wire.FINAL:
-            return wire.job_answer(job_id, entry.state, tasks if entry.state is JobState.DONE else 0, 0)
-        progress = self._progress(job_id)
+            answer = wire.job_answer(job_id, entry.state, tasks if entry.state is JobState.DONE else 0, 0)
+            if entry.through not in (None, job_id):
+                answer["reason"] = f"{entry.through}, which it needs, was cancelled"
+            return answer
+        waits_for = self._replica.chain.waits_for(job_id)
+        progress = self._progress(job_id) if not waits_for else None
         if progress is None:
-            return wire.job_answer(job_id, JobState.QUEUED, 0, 0)
+            answer = wire.job_answer(job_id, JobState.QUEUED, 0, 0)
+            if waits_for:
+                answer["reason"] = "waits for " + _names(waits_for)
+            return answer
         state = JobState.RUNNING if progress.running else JobState.QUEUED
         answer = wire.job_answer(job_id, state, progress.done, progress.running)
         answer["reason"] = progress.reason
@@ -272,9 +311,7 @@
                     return Response(404, {"error": "no such job"})
                 if entry.state in wire.FINAL:
                     return Response(200, wire.job_answer(job_id, entry.state))
-                record = store.JobRecord(
-                    JobState.CANCELLED.value, entry.record.spec, entry.record.tasks, entry.record.at
-                )
+                record = store.cancelled(entry.record, self._settings.params.state.value_kb)
                 key = store.JOB + job_id
                 outcome = await self._state.txn([wire.when(key, entry.version)], [wire.put(key, wire.to_plain(record))])
                 if outcome.applied:
--- a/pepperlatch/wire.py
+++ b/pepperlatch/wire.py
@@ -55,7 +55,7 @@
     "id": "name_id", "job_class": "jobclass", "team": "crew", "kind": "shape", "priority": "urgency",
     "tasks": "pieces", "cpus": "cores", "image": "bundle", "image_gb": "pull_gb", "types": "builds",
     "zone": "yard", "spread": "apart", "spot": "loaners", "estimate_s": "expected_s",
-    "checkpoint_s": "snapshot_every_s", "save_s": "snapshot_cost_s", "deadline_s": "due_s",
+    "checkpoint_s": "snapshot_every_s", "save_s": "snapshot_cost_s", "deadline_s": "due_s", "needs": "prereqs",
 }  # fmt: skip
 
 
@@ -80,6 +80,7 @@
     types: list[str] | None = None
     zone: str | None = None
     deadline_s: float | None = None
+    needs: list[str] | None = None  # jobs that have to be done before any task of this one starts
 
 
 class TaskReport(
@@ -269,6 +270,10 @@
     return str(condition["k"])
 
 
+def written_key(change: dict[str, Any]) -> str:
+    return str(change.get("set") or change.get("delete"))
+
+
 def put(key: str, value: Any, lease: int | None = None) -> dict[str, Any]:
     write: dict[str, Any] = {"set": key, "value": value}
     if lease is not None:
--- a/pepperlatch/writer.py
+++ b/pepperlatch/writer.py
@@ -1,4 +1,4 @@
-"""The leader's writes: batched, and every one conditional on the leader's key."""
+"""The leader's writes: batched, every one conditional on the leader's key, what somebody waits for first."""
 
 import logging
 from collections import deque
@@ -12,7 +12,7 @@
 from pepperlatch import constants as c
 from pepperlatch import store, wire
 from pepperlatch.leadership import Term
-from pepperlatch.state import Away, LeaseGone, StateClient, Unsure
+from pepperlatch.state import Away, LeaseGone, Refused, StateClient, Unsure
 
 log = logging.getLogger(__name__)
 
@@ -24,6 +24,7 @@
     changes: list[dict[str, Any]]
     done: Callable[[bool], None]
     when: list[dict[str, Any]] = field(default_factory=list)
+    alone: bool = False  # one of those that came with it was refused
 
 
 class Writer:
@@ -32,36 +33,65 @@
         self._term = term
         self._most = most
         self._queue: deque[Write] = deque()
+        self._later: deque[Write] = deque()
+        self._refused: deque[tuple[float, Write]] = deque()  # and when they are tried again
         self._wake = trio.Event()
 
-    def add(self, write: Write) -> None:
-        self._queue.append(write)
+    def later_most(self) -> int:
+        return min(self._most, self._state.later_most())
+
+    def add(self, write: Write, later: bool = False) -> None:
+        """`later`: nobody waits for it; it is written when the budget has more than others may need."""
+        (self._later if later else self._queue).append(write)
         self._wake.set()
 
     async def run(self) -> None:
         while not self._term.over:
-            if not self._queue:
-                self._wake = trio.Event()
-                await self._wake.wait()
+            while self._refused and trio.current_time() >= self._refused[0][0]:
+                self._queue.append(self._refused.popleft()[1])
             batch = self._take()
+            if not batch:
+                await self._rest()
+                continue
             try:
                 await self._commit(batch)
+            except Refused as error:
+                self._refuse(batch, error)
             except (Away, Unsure, LeaseGone) as error:
                 log.debug("write put off: %s", error)
                 self._queue.extendleft(reversed(batch))
                 await trio.sleep(c.STATE_RETRY_S)
 
+    async def _rest(self) -> None:
+        self._wake = trio.Event()
+        with trio.move_on_after(c.LATER_PAUSE_S if self._later else c.REFUSED_PAUSE_S):
+            await self._wake.wait()
+
+    def _refuse(self, batch: list[Write], error: Refused) -> None:
+        """Each by itself next; the one at fault is named and goes out of the others' way."""
+        if len(batch) > 1:
+            self._queue.extendleft(reversed([_alone(write) for write in batch]))
+            return
+        log.error("%s is refused: %s", wire.written_key(batch[0].changes[0]), error)
+        self._refused.append((trio.current_time() + c.REFUSED_PAUSE_S, batch[0]))
+
     def _take(self) -> list[Write]:
         """Whole writes while they fit into one transaction (at least one)."""
         batch: list[Write] = []
-        count = size = 0
-        while self._queue:
-            write = self._queue[0]
-            count += len(write.changes)
+        changes = conditions = size = 0
+        spare = self._state.writes_spare()
+        while self._queue or self._later:
+            source = self._queue or self._later
+            write = source[0]
+            if source is self._later and changes + len(write.changes) > spare:
+                break
+            changes += len(write.changes)
+            conditions += len(write.when)
             size += len(orjson.dumps(write.changes))
-            if batch and (count > self._most or size > c.TXN_BYTES):
+            over = changes > self._most or conditions >= c.TXN_CONDITIONS * self._most or size > c.TXN_BYTES
+            if batch and (over or write.alone or batch[0].alone):
                 break
-            batch.append(self._queue.popleft())
+            batch.append(source.popleft())
         return batch
 
     async def _commit(self, batch: list[Write]) -> None:
@@ -82,3 +112,7 @@
                 if write not in rest:
                     write.done(False)
             self._queue.extendleft(reversed(rest))
+
+
+def _alone(write: Write) -> Write:
+    return Write(write.changes, write.done, write.when, alone=True)
