Layout: constants, protocol, policy, controller, command; moves and imports only

Need: the flat package of 34 modules will not carry ten subsystems. Arrows go down only: command, then controller, then policy, then protocol and constants.

Change: `git mv` of every module into its package, imports adjusted, nothing else. `run.py` stays the thin program.

--- a/pepperlatch/cli.py
+++ b/pepperlatch/command/cli.py
@@ -27,7 +27,7 @@
 
     import trio
 
-    from pepperlatch import daemon
+    from pepperlatch.controller import daemon
 
     trio.run(daemon.serve, settings)
     return 0
@@ -51,7 +51,7 @@
     args = parser.parse_args(argv)
     if args.command == "serve":
         return serve(args.config)
-    from pepperlatch import client
+    from pepperlatch.command import client
 
     return client.run(args)
 
--- a/pepperlatch/client.py
+++ b/pepperlatch/command/client.py
@@ -9,9 +9,10 @@
 import orjson
 import trio
 
-from pepperlatch import admin, wire
-from pepperlatch import constants as c
-from pepperlatch.http.client import HttpNetwork, Lost, NotSent
+from pepperlatch.constants import core as c
+from pepperlatch.controller import admin
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.http.client import HttpNetwork, Lost, NotSent
 
 OK, REFUSED, UNREACHABLE = 0, 1, 3
 
--- a/pepperlatch/admin.py
+++ b/pepperlatch/controller/admin.py
@@ -5,11 +5,12 @@
 
 import orjson
 
-from pepperlatch import store, wire
-from pepperlatch.http.server import Request, Response
-from pepperlatch.state import Away, StateClient, Unsure
-from pepperlatch.store import Watched
-from pepperlatch.tuning import KNOBS, BadValue, Tuning, checked
+from pepperlatch.controller import store
+from pepperlatch.controller.store import Watched
+from pepperlatch.policy.tuning import KNOBS, BadValue, Tuning, checked
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.http.server import Request, Response
+from pepperlatch.protocol.state import Away, StateClient, Unsure
 
 SETTINGS, VIEW = "/admin/settings", "/admin/view"
 
--- a/pepperlatch/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -10,23 +10,24 @@
 import orjson
 import trio
 
-from pepperlatch import __version__, wire
-from pepperlatch import constants as c
-from pepperlatch.admin import Admin
-from pepperlatch.cloud import CloudClient, CloudTrouble
-from pepperlatch.http.client import HttpNetwork, Lost, Network, NotSent
-from pepperlatch.http.server import Request, Response, Server
-from pepperlatch.leader import Leader
-from pepperlatch.leadership import Leadership, Term, hold_seconds
-from pepperlatch.model import Status, split_task
-from pepperlatch.owner import Owner, Reply
-from pepperlatch.peers import PEER_FENCE, PEER_INSPECT, Peers
+from pepperlatch import __version__
+from pepperlatch.constants import core as c
+from pepperlatch.controller.admin import Admin
+from pepperlatch.controller.leader import Leader
+from pepperlatch.controller.leadership import Leadership, Term, hold_seconds
+from pepperlatch.controller.owner import Owner, Reply
+from pepperlatch.controller.peers import PEER_FENCE, PEER_INSPECT, Peers
+from pepperlatch.controller.store import Replica, Watched
+from pepperlatch.controller.users import Progress, Users
+from pepperlatch.policy.model import Status, split_task
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.cloud import CloudClient, CloudTrouble
+from pepperlatch.protocol.http.client import HttpNetwork, Lost, Network, NotSent
+from pepperlatch.protocol.http.server import Request, Response, Server
+from pepperlatch.protocol.state import StateClient
+from pepperlatch.protocol.wire import Report
+from pepperlatch.protocol.workers import WorkerClient
 from pepperlatch.settings import Peer, Settings, split_address
-from pepperlatch.state import StateClient
-from pepperlatch.store import Replica, Watched
-from pepperlatch.users import Progress, Users
-from pepperlatch.wire import Report
-from pepperlatch.workers import WorkerClient
 
 log = logging.getLogger(__name__)
 PEER_BEAT, PEER_CONTACT, PEER_BAR, PEER_HEALTH = "/peer/beat", "/peer/contact", "/peer/bar", "/peer/health"
--- a/pepperlatch/duty.py
+++ b/pepperlatch/controller/duty.py
@@ -6,13 +6,13 @@
 
 import trio
 
-from pepperlatch.cluster import Cluster
-from pepperlatch.leadership import Term
-from pepperlatch.owner import Owner
-from pepperlatch.planner import Planner
+from pepperlatch.controller.leadership import Term
+from pepperlatch.controller.owner import Owner
+from pepperlatch.controller.store import Replica
+from pepperlatch.controller.writer import Writer
+from pepperlatch.policy.cluster import Cluster
+from pepperlatch.policy.planner import Planner
 from pepperlatch.settings import Settings
-from pepperlatch.store import Replica
-from pepperlatch.writer import Writer
 
 Clock = Callable[[], float]
 
--- a/pepperlatch/health.py
+++ b/pepperlatch/controller/health.py
@@ -5,15 +5,15 @@
 
 import trio
 
-from pepperlatch import constants as c
-from pepperlatch import fleet
-from pepperlatch.cluster import SILENT
-from pepperlatch.duty import Duty
-from pepperlatch.http.client import Lost, NotSent
-from pepperlatch.model import Machine, Status
-from pepperlatch.peers import Peers
-from pepperlatch.wire import Report
-from pepperlatch.workers import WorkerClient
+from pepperlatch.constants import core as c
+from pepperlatch.controller.duty import Duty
+from pepperlatch.controller.peers import Peers
+from pepperlatch.policy import fleet
+from pepperlatch.policy.cluster import SILENT
+from pepperlatch.policy.model import Machine, Status
+from pepperlatch.protocol.http.client import Lost, NotSent
+from pepperlatch.protocol.wire import Report
+from pepperlatch.protocol.workers import WorkerClient
 
 
 class Health:
--- a/pepperlatch/leader.py
+++ b/pepperlatch/controller/leader.py
@@ -7,27 +7,28 @@
 
 import trio
 
-from pepperlatch import constants as c
-from pepperlatch import store, wire
-from pepperlatch.cloud import CloudClient
-from pepperlatch.cluster import Cluster
-from pepperlatch.duty import Duty
-from pepperlatch.health import Health
-from pepperlatch.http.client import Lost, NotSent
-from pepperlatch.leadership import Term
-from pepperlatch.model import Machine, Status
-from pepperlatch.owner import Owner, Reply
-from pepperlatch.peers import Peers
-from pepperlatch.planner import Planner
-from pepperlatch.records import Records
-from pepperlatch.rentals import Rentals
+from pepperlatch.constants import core as c
+from pepperlatch.controller import store
+from pepperlatch.controller.duty import Duty
+from pepperlatch.controller.health import Health
+from pepperlatch.controller.leadership import Term
+from pepperlatch.controller.owner import Owner, Reply
+from pepperlatch.controller.peers import Peers
+from pepperlatch.controller.records import Records
+from pepperlatch.controller.rentals import Rentals
+from pepperlatch.controller.store import Replica
+from pepperlatch.controller.writer import Writer
+from pepperlatch.policy.cluster import Cluster
+from pepperlatch.policy.model import Machine, Status
+from pepperlatch.policy.planner import Planner
+from pepperlatch.policy.tuning import Tuning
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.cloud import CloudClient
+from pepperlatch.protocol.http.client import Lost, NotSent
+from pepperlatch.protocol.state import Away, StateClient, Unsure
+from pepperlatch.protocol.wire import Report
+from pepperlatch.protocol.workers import WorkerClient
 from pepperlatch.settings import Settings
-from pepperlatch.state import Away, StateClient, Unsure
-from pepperlatch.store import Replica
-from pepperlatch.tuning import Tuning
-from pepperlatch.wire import Report
-from pepperlatch.workers import WorkerClient
-from pepperlatch.writer import Writer
 
 log = logging.getLogger(__name__)
 Clock = Callable[[], float]
--- a/pepperlatch/leadership.py
+++ b/pepperlatch/controller/leadership.py
@@ -8,9 +8,10 @@
 
 import trio
 
-from pepperlatch import constants as c
-from pepperlatch import store, wire
-from pepperlatch.state import Away, LeaseGone, StateClient, Unsure
+from pepperlatch.constants import core as c
+from pepperlatch.controller import store
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.state import Away, LeaseGone, StateClient, Unsure
 
 log = logging.getLogger(__name__)
 
--- a/pepperlatch/owner.py
+++ b/pepperlatch/controller/owner.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from pepperlatch import constants as c
+from pepperlatch.constants import core as c
 
 log = logging.getLogger(__name__)
 Command = Callable[[], None]
--- a/pepperlatch/peers.py
+++ b/pepperlatch/controller/peers.py
@@ -7,13 +7,13 @@
 import orjson
 import trio
 
-from pepperlatch import constants as c
-from pepperlatch import wire
-from pepperlatch.http.client import Lost, Network, NotSent
-from pepperlatch.http.server import Request, Response
+from pepperlatch.constants import core as c
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.http.client import Lost, Network, NotSent
+from pepperlatch.protocol.http.server import Request, Response
+from pepperlatch.protocol.wire import Report
+from pepperlatch.protocol.workers import WorkerClient
 from pepperlatch.settings import Peer, Settings, SettingsError
-from pepperlatch.wire import Report
-from pepperlatch.workers import WorkerClient
 
 PEER_INSPECT, PEER_FENCE = "/peer/inspect", "/peer/fence"
 
--- a/pepperlatch/records.py
+++ b/pepperlatch/controller/records.py
@@ -4,12 +4,13 @@
 from collections.abc import Callable
 from functools import partial
 
-from pepperlatch import constants as c
-from pepperlatch import store, wire
-from pepperlatch.duty import Duty
-from pepperlatch.model import Job
-from pepperlatch.wire import JobState
-from pepperlatch.writer import Write
+from pepperlatch.constants import core as c
+from pepperlatch.controller import store
+from pepperlatch.controller.duty import Duty
+from pepperlatch.controller.writer import Write
+from pepperlatch.policy.model import Job
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.wire import JobState
 
 log = logging.getLogger(__name__)
 
--- a/pepperlatch/rentals.py
+++ b/pepperlatch/controller/rentals.py
@@ -5,13 +5,14 @@
 
 import trio
 
-from pepperlatch import constants as c
-from pepperlatch import store, wire
-from pepperlatch.cloud import CloudClient, CloudTrouble, NoCapacity
-from pepperlatch.duty import Duty
-from pepperlatch.fleet import Offer
-from pepperlatch.model import Machine, Status
-from pepperlatch.writer import Write
+from pepperlatch.constants import core as c
+from pepperlatch.controller import store
+from pepperlatch.controller.duty import Duty
+from pepperlatch.controller.writer import Write
+from pepperlatch.policy.fleet import Offer
+from pepperlatch.policy.model import Machine, Status
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.cloud import CloudClient, CloudTrouble, NoCapacity
 
 log = logging.getLogger(__name__)
 
--- a/pepperlatch/store.py
+++ b/pepperlatch/controller/store.py
@@ -19,10 +19,10 @@
 import orjson
 import trio
 
-from pepperlatch import constants as c
-from pepperlatch import wire
-from pepperlatch.prerequisites import Prerequisites, Standing
-from pepperlatch.state import Away, StateClient, Unsure
+from pepperlatch.constants import core as c
+from pepperlatch.policy.prerequisites import Prerequisites, Standing
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.state import Away, StateClient, Unsure
 
 WATCHED = "j/"
 LEADER = "j/leader"
--- a/pepperlatch/users.py
+++ b/pepperlatch/controller/users.py
@@ -10,15 +10,16 @@
 import orjson
 import trio
 
-from pepperlatch import constants as c
-from pepperlatch import store, wire
-from pepperlatch.http.server import Request, Response
-from pepperlatch.model import allowed_on, fits_type
-from pepperlatch.quota import can_ever_run
+from pepperlatch.constants import core as c
+from pepperlatch.controller import store
+from pepperlatch.controller.store import Entry, Replica, Watched
+from pepperlatch.policy.model import allowed_on, fits_type
+from pepperlatch.policy.quota import can_ever_run
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.http.server import Request, Response
+from pepperlatch.protocol.state import Away, Refused, StateClient, Unsure
+from pepperlatch.protocol.wire import JobSpec, JobState, Kind, MachineType
 from pepperlatch.settings import Settings
-from pepperlatch.state import Away, Refused, StateClient, Unsure
-from pepperlatch.store import Entry, Replica, Watched
-from pepperlatch.wire import JobSpec, JobState, Kind, MachineType
 
 log = logging.getLogger(__name__)
 
--- a/pepperlatch/writer.py
+++ b/pepperlatch/controller/writer.py
@@ -9,10 +9,11 @@
 import orjson
 import trio
 
-from pepperlatch import constants as c
-from pepperlatch import store, wire
-from pepperlatch.leadership import Term
-from pepperlatch.state import Away, LeaseGone, Refused, StateClient, Unsure
+from pepperlatch.constants import core as c
+from pepperlatch.controller import store
+from pepperlatch.controller.leadership import Term
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.state import Away, LeaseGone, Refused, StateClient, Unsure
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/pepperlatch/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: no clock, no socket; `now` is an argument."""
--- a/pepperlatch/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -10,12 +10,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-from pepperlatch import constants as c
-from pepperlatch import wire
-from pepperlatch.model import Attempt, Job, Machine, Phase, Status, split_task
-from pepperlatch.quota import Quota, Use
+from pepperlatch.constants import core as c
+from pepperlatch.policy.model import Attempt, Job, Machine, Phase, Status, split_task
+from pepperlatch.policy.quota import Quota, Use
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.wire import Cause, JobSpec, Kind, MachineType, Report, TaskReport, TaskState
 from pepperlatch.settings import Params
-from pepperlatch.wire import Cause, JobSpec, Kind, MachineType, Report, TaskReport, TaskState
 
 log = logging.getLogger(__name__)
 Key = tuple[str, int]
--- a/pepperlatch/draining.py
+++ b/pepperlatch/policy/draining.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from pepperlatch.model import EPS, Attempt, Machine, Phase, allowed_on
-from pepperlatch.placement import zone_bound
-from pepperlatch.wire import Kind, TaskState
+from pepperlatch.policy.model import EPS, Attempt, Machine, Phase, allowed_on
+from pepperlatch.policy.placement import zone_bound
+from pepperlatch.protocol.wire import Kind, TaskState
 
 
 @dataclass(slots=True)
--- a/pepperlatch/fleet.py
+++ b/pepperlatch/policy/fleet.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from pepperlatch import constants as c
-from pepperlatch.model import EPS, Job, allowed_on, fits_type
-from pepperlatch.wire import JobSpec, Kind, MachineType
+from pepperlatch.constants import core as c
+from pepperlatch.policy.model import EPS, Job, allowed_on, fits_type
+from pepperlatch.protocol.wire import JobSpec, Kind, MachineType
 
 
 @dataclass(frozen=True, slots=True)
--- a/pepperlatch/model.py
+++ b/pepperlatch/policy/model.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from pepperlatch.constants import EMPTYING_SHARE
-from pepperlatch.constants import EPS as EPS
-from pepperlatch.wire import RANK, JobSpec, Kind, MachineType, TaskReport, TaskState
+from pepperlatch.constants.core import EMPTYING_SHARE
+from pepperlatch.constants.core import EPS as EPS
+from pepperlatch.protocol.wire import RANK, JobSpec, Kind, MachineType, TaskReport, TaskState
 
 
 class Phase(Enum):
--- a/pepperlatch/placement.py
+++ b/pepperlatch/policy/placement.py
@@ -4,9 +4,9 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
-from pepperlatch import constants as c
-from pepperlatch.model import EPS, Job, Machine, Status, allowed_on
-from pepperlatch.wire import JobSpec, Kind
+from pepperlatch.constants import core as c
+from pepperlatch.policy.model import EPS, Job, Machine, Status, allowed_on
+from pepperlatch.protocol.wire import JobSpec, Kind
 
 
 def usable(machine: Machine, now: float, fresh_s: float) -> bool:
--- a/pepperlatch/planner.py
+++ b/pepperlatch/policy/planner.py
@@ -7,15 +7,15 @@
 
 import msgspec
 
-from pepperlatch import constants as c
-from pepperlatch import draining, fleet, placement, quota, supply
-from pepperlatch.cluster import Cluster
-from pepperlatch.fleet import Bin, Need, Offer
-from pepperlatch.model import EPS, Attempt, Job, Machine, Phase, Status, allowed_on, fits_type
-from pepperlatch.placement import Candidates
-from pepperlatch.supply import Spare
-from pepperlatch.tuning import Tuning
-from pepperlatch.wire import RANK, JobSpec, Kind, Priority
+from pepperlatch.constants import core as c
+from pepperlatch.policy import draining, fleet, placement, quota, supply
+from pepperlatch.policy.cluster import Cluster
+from pepperlatch.policy.fleet import Bin, Need, Offer
+from pepperlatch.policy.model import EPS, Attempt, Job, Machine, Phase, Status, allowed_on, fits_type
+from pepperlatch.policy.placement import Candidates
+from pepperlatch.policy.supply import Spare
+from pepperlatch.policy.tuning import Tuning
+from pepperlatch.protocol.wire import RANK, JobSpec, Kind, Priority
 
 log = logging.getLogger(__name__)
 URGENT = RANK[Priority.HIGH]  # and stronger: may preempt also beyond a guarantee
--- a/pepperlatch/prerequisites.py
+++ b/pepperlatch/policy/prerequisites.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from pepperlatch.constants import STEP_S
+from pepperlatch.constants.core import STEP_S
 
 
 @dataclass(frozen=True, slots=True)
--- a/pepperlatch/quota.py
+++ b/pepperlatch/policy/quota.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from pepperlatch.model import EPS, Job
+from pepperlatch.policy.model import EPS, Job
+from pepperlatch.protocol.wire import JobSpec, Kind
 from pepperlatch.settings import Team
-from pepperlatch.wire import JobSpec, Kind
 
 
 @dataclass(slots=True)
--- a/pepperlatch/supply.py
+++ b/pepperlatch/policy/supply.py
@@ -8,11 +8,11 @@
 
 import msgspec
 
-from pepperlatch import constants as c
-from pepperlatch.fleet import Need
-from pepperlatch.model import EPS, Attempt, Job, Machine, allowed_on
+from pepperlatch.constants import core as c
+from pepperlatch.policy.fleet import Need
+from pepperlatch.policy.model import EPS, Attempt, Job, Machine, allowed_on
+from pepperlatch.protocol.wire import JobSpec, Kind
 from pepperlatch.settings import Objective
-from pepperlatch.wire import JobSpec, Kind
 
 
 @dataclass(slots=True)
--- a/pepperlatch/cloud.py
+++ b/pepperlatch/protocol/cloud.py
@@ -6,10 +6,10 @@
 import msgspec
 import trio
 
-from pepperlatch import constants as c
-from pepperlatch import wire
-from pepperlatch.budget import Budget
-from pepperlatch.http.client import Lost, Network, NotSent
+from pepperlatch.constants import core as c
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.budget import Budget
+from pepperlatch.protocol.http.client import Lost, Network, NotSent
 from pepperlatch.settings import Cloud
 
 
--- a/pepperlatch/http/client.py
+++ b/pepperlatch/protocol/http/client.py
@@ -7,7 +7,7 @@
 import orjson
 import trio
 
-from pepperlatch import constants as c
+from pepperlatch.constants import core as c
 from pepperlatch.settings import split_address
 
 
--- a/pepperlatch/http/server.py
+++ b/pepperlatch/protocol/http/server.py
@@ -9,7 +9,7 @@
 import orjson
 import trio
 
-from pepperlatch import constants as c
+from pepperlatch.constants import core as c
 
 log = logging.getLogger(__name__)
 
--- a/pepperlatch/workers.py
+++ b/pepperlatch/protocol/workers.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from pepperlatch import constants as c
-from pepperlatch import wire
-from pepperlatch.http.client import Lost, Network
+from pepperlatch.constants import core as c
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.http.client import Lost, Network
 
 
 class WorkerClient:
--- a/pepperlatch/settings.py
+++ b/pepperlatch/settings.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from pepperlatch import wire
+from pepperlatch.protocol import wire
 
 
 class SettingsError(Exception):
--- a/run.py
+++ b/run.py
@@ -6,7 +6,7 @@
 
 sys.path[:0] = [str(Path(__file__).resolve().parent / "target" / "deps")]
 
-from pepperlatch.cli import serve  # noqa: E402
+from pepperlatch.command.cli import serve  # noqa: E402
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser(description="run a pepperlatch controller node")
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -15,9 +15,9 @@
 import trio
 import trio.testing
 
-from pepperlatch.daemon import Node
-from pepperlatch.http.client import Lost, NotSent
-from pepperlatch.http.server import Request
+from pepperlatch.controller.daemon import Node
+from pepperlatch.protocol.http.client import Lost, NotSent
+from pepperlatch.protocol.http.server import Request
 from pepperlatch.settings import parse
 
 STATE, CLOUD = "10.2.0.1:1", "10.2.0.2:1"
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -6,9 +6,11 @@
 import pytest
 import trio
 
-from pepperlatch import store, supply, wire
-from pepperlatch.model import Job
-from pepperlatch.prerequisites import Prerequisites, Standing
+from pepperlatch.controller import store
+from pepperlatch.policy import supply
+from pepperlatch.policy.model import Job
+from pepperlatch.policy.prerequisites import Prerequisites, Standing
+from pepperlatch.protocol import wire
 from tests.fakes import CANCEL_S, World, job, story
 
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -9,13 +9,16 @@
 import trio
 import trio.testing
 
-from pepperlatch import cli, client, draining, fleet, quota, store, wire
-from pepperlatch.budget import Budget
-from pepperlatch.http.server import Request, Response, Server
-from pepperlatch.leadership import hold_seconds
-from pepperlatch.model import Attempt, Job, Machine, Phase, Status
+from pepperlatch.command import cli, client
+from pepperlatch.controller import store
+from pepperlatch.controller.leadership import hold_seconds
+from pepperlatch.policy import draining, fleet, quota
+from pepperlatch.policy.model import Attempt, Job, Machine, Phase, Status
+from pepperlatch.policy.supply import Place, Spare, absorb, slack_s
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.budget import Budget
+from pepperlatch.protocol.http.server import Request, Response, Server
 from pepperlatch.settings import Objective, SettingsError, Team, parse
-from pepperlatch.supply import Place, Spare, absorb, slack_s
 from tests.fakes import World, job, settings_of, story
 
 TYPE = wire.convert(
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -10,8 +10,9 @@
 import pytest
 import trio
 
-from pepperlatch import store, wire
-from pepperlatch.writer import Write
+from pepperlatch.controller import store
+from pepperlatch.controller.writer import Write
+from pepperlatch.protocol import wire
 from tests.fakes import NODES, World, job, story
 
 # --- version 0.1, frozen --------------------------------------------------------------------------
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -7,19 +7,20 @@
 import trio
 import trio.testing
 
-from pepperlatch import constants as c
-from pepperlatch import placement, wire
-from pepperlatch.cluster import Cluster
-from pepperlatch.fleet import Offer
-from pepperlatch.http.server import Request
-from pepperlatch.model import Job, Machine, Status
-from pepperlatch.owner import Owner
-from pepperlatch.planner import Planner
+from pepperlatch.constants import core as c
+from pepperlatch.controller.owner import Owner
+from pepperlatch.controller.store import Replica
+from pepperlatch.controller.users import Users
+from pepperlatch.policy import placement
+from pepperlatch.policy.cluster import Cluster
+from pepperlatch.policy.fleet import Offer
+from pepperlatch.policy.model import Job, Machine, Status
+from pepperlatch.policy.planner import Planner
+from pepperlatch.policy.tuning import Tuning
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.http.server import Request
+from pepperlatch.protocol.state import Outcome
 from pepperlatch.settings import Objective
-from pepperlatch.state import Outcome
-from pepperlatch.store import Replica
-from pepperlatch.tuning import Tuning
-from pepperlatch.users import Users
 from tests.fakes import NODES, ZONES, World, job, settings_of, story
 from tests.test_edges import machine, run_on, spec_of
 
