Pipelines: runs recorded first, ids from what is asked, completed once by whoever lives

Need: a pipeline submitted by a client that dies in between must neither stay half done nor run twice, and a job that comes by command line and by file is one job.

Every batch of jobs is conditional on the run's version. `JobRecord.run`, optional, names the run that created a job.

Ruled out: progress written per batch (a change each for what the state service knows anyway).

--- a/pepperlatch/command/cli.py
+++ b/pepperlatch/command/cli.py
@@ -4,7 +4,13 @@
 import logging
 import os
 import sys
+from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from pepperlatch.controller.parts import Core, Part
+    from pepperlatch.features import Features
 
 REMOTE = {
     "submit": "submit a job from a JSON file",
@@ -26,7 +32,7 @@
         print(f"settings {path}: {error}", file=sys.stderr)
         return 2
     try:
-        features.load(features_path or Path(os.devnull))
+        wanted = features.load(features_path) if features_path is not None else features.Features()
     except features.FeaturesError as error:
         print(f"features {features_path}: {error}", file=sys.stderr)
         return 2
@@ -37,10 +43,20 @@
 
     from pepperlatch.controller import daemon
 
-    trio.run(daemon.serve, settings)
+    trio.run(daemon.serve, settings, _parts(wanted))
     return 0
 
 
+def _parts(wanted: "Features") -> "list[Callable[[Core], Part]]":
+    """What is switched on; the rest is not even imported."""
+    parts: list[Callable[[Core], Part]] = []
+    if wanted.pipelines.on:
+        from pepperlatch.pipelines.part import Pipelines
+
+        parts.append(lambda core: Pipelines(core, wanted.pipelines))
+    return parts
+
+
 def main(argv: list[str] | None = None) -> int:
     parser = argparse.ArgumentParser(prog="pepperlatch", description="a cluster scheduler")
     commands = parser.add_subparsers(dest="command", required=True)
--- a/pepperlatch/controller/store.py
+++ b/pepperlatch/controller/store.py
@@ -52,6 +52,7 @@
     at: float = 0.0  # time of day of the submission, by the accepting node's clock
     parts: int = 0  # pieces below `PART` that hold the description instead
     ended: float = 0.0  # time of day when it was done, by the leader's clock; 0 in records of version 0.1
+    run: str = ""  # the run of a pipeline that created it; not kept once it is over
 
 
 class MachineRecord(msgspec.Struct):
@@ -249,9 +250,9 @@
     return spec
 
 
-def created(spec: wire.JobSpec, parts: list[str], at: float) -> list[dict[str, Any]]:
+def created(spec: wire.JobSpec, parts: list[str], at: float, run: str = "") -> list[dict[str, Any]]:
     """The changes that make a job known."""
-    record = JobRecord(wire.JobState.QUEUED.value, None if parts else spec, spec.tasks, at, len(parts))
+    record = JobRecord(wire.JobState.QUEUED.value, None if parts else spec, spec.tasks, at, len(parts), run=run)
     changes = [wire.put(JOB + spec.id, wire.to_plain(record))]
     return changes + [wire.put(f"{PART}{spec.id}/{n}", {"text": text}) for n, text in enumerate(parts)]
 
--- a/pepperlatch/controller/users.py
+++ b/pepperlatch/controller/users.py
@@ -152,19 +152,19 @@
         if isinstance(job_id, str) and job_id in self._replica.jobs:
             return await self._known(job_id) or later()
         try:
-            spec = self._check(value)
+            spec = self.check(value)
         except Malformed as error:
             return await self._known(job_id) or Response(400, {"error": str(error)})
         except Impossible as error:
             return await self._known(job_id) or Response(422, {"error": str(error)})
         if spec is None:
             return await self._known(job_id) or later()
-        wrong = await self._wrong_need(spec)
+        wrong = await self.wrong_need(spec)
         if wrong is not None:
             return await self._known(job_id) or Response(422, {"error": wrong})
         return await self._create(spec)
 
-    async def _wrong_need(self, spec: JobSpec) -> str | None:
+    async def wrong_need(self, spec: JobSpec) -> str | None:
         """What is wrong with the jobs named; only a current reading may say that one was never accepted."""
         needs = spec.needs or []
         if any(name not in self._replica.jobs for name in needs):
@@ -177,8 +177,11 @@
                 return f"{name}, which it needs, is a service and never done"
         return None
 
-    def _check(self, value: Any) -> JobSpec | None:
-        """The sound description; None if this node cannot tell because it knows no machine types yet."""
+    def check(self, value: Any) -> JobSpec | None:
+        """The sound description; None if this node cannot tell because it knows no machine types yet.
+
+        Raises Malformed or Impossible if it will never be one.
+        """
         spec = check_job(value)
         limits = self._settings.params.state
         parts = store.parts_of(spec, limits.value_kb)
@@ -199,7 +202,7 @@
         if entry is None or entry.state not in wire.FINAL:
             await self._watched.sync()
             entry = self._replica.jobs.get(job_id)
-        return Response(200, self._describe(job_id, entry)) if entry is not None else None
+        return Response(200, self.describe(job_id, entry)) if entry is not None else None
 
     async def _create(self, spec: JobSpec) -> Response:
         if len(self._queue) >= self._state.writes_within(c.SUBMIT_WAIT_S):  # its turn would not come in time
@@ -275,7 +278,8 @@
 
     # --- looking up and cancelling ----------------------------------------------------------------
 
-    def _describe(self, job_id: str, entry: Entry) -> dict[str, Any]:
+    def describe(self, job_id: str, entry: Entry) -> dict[str, Any]:
+        """The answer to a poll, from this node's copy as it stands."""
         tasks = entry.record.tasks
         if entry.state in wire.FINAL:
             answer = wire.job_answer(job_id, entry.state, tasks if entry.state is JobState.DONE else 0, 0)
--- /dev/null
+++ b/pepperlatch/pipelines/__init__.py
@@ -0,0 +1,1 @@
+"""Pipeline files, and the runs that are made of them."""
--- /dev/null
+++ b/pepperlatch/pipelines/part.py
@@ -0,0 +1,387 @@
+"""The controllers' side of pipelines: takes plans, submits their jobs, tells how they stand, withdraws them.
+
+A part of a controller (`controller.parts`). Any node takes a plan and brings it on; what a dead node left behind the
+leader takes up. Several may bring on the same run: every transaction is conditional, so each job is created once.
+"""
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import parse_qs, unquote
+
+import msgspec
+import orjson
+import trio
+
+from pepperlatch import features
+from pepperlatch.constants import core
+from pepperlatch.constants import pipelines as c
+from pepperlatch.controller import store
+from pepperlatch.controller.leadership import Term
+from pepperlatch.controller.parts import Core
+from pepperlatch.controller.users import Impossible, Malformed, later
+from pepperlatch.pipelines import plan as plans
+from pepperlatch.pipelines import runs
+from pepperlatch.pipelines.plan import BadPlan, Plan
+from pepperlatch.pipelines.runs import Change, Phase, RunRecord
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.http.server import Request, Response
+from pepperlatch.protocol.state import Away, Outcome, Refused, Unsure
+
+log = logging.getLogger(__name__)
+ROOT = "/pipelines"
+
+
+@dataclass(slots=True)
+class Held:
+    """A run as it was read: its record, the version of its key, its plan and the jobs of its steps."""
+
+    address: str
+    run: RunRecord
+    version: int
+    plan: Plan
+    specs: dict[str, wire.JobSpec]
+
+
+class _Body(msgspec.Struct):
+    plan: str
+
+
+class _Again(msgspec.Struct, rename={"first": "from"}):
+    first: list[str]
+
+
+class Pipelines:
+    name = "pipelines"
+    prefix = runs.PREFIX
+    paths: Sequence[str] = (ROOT,)
+
+    def __init__(self, core: Core, wanted: features.Pipelines) -> None:
+        self._core = core
+        self._state = core.state
+        self._limits = core.settings.params.state
+        self._repeats = wanted.repeats
+        self._driven: dict[str, trio.Event] = {}
+        self._turn = trio.Lock()  # its queue is first come, first served: runs get their batches in turn
+        self._reads = trio.CapacityLimiter(c.READS_AT_ONCE)
+        self._plans: OrderedDict[tuple[str, str], tuple[Plan, dict[str, wire.JobSpec]]] = OrderedDict()
+        self._nursery: trio.Nursery | None = None
+
+    # --- life -------------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        try:
+            async with trio.open_nursery() as self._nursery:
+                await trio.sleep_forever()
+        finally:
+            self._nursery = None
+            self._driven.clear()
+
+    async def lead(self, term: Term) -> None:
+        """Take up runs that lie still: their node died, or was cut off, before it was through."""
+        lying: set[str] = set()
+        while not term.over:
+            try:
+                _, pairs = await self._state.read_all(runs.OPEN)
+            except (Away, Unsure):
+                await trio.sleep(c.LOOK_EVERY_S)
+                continue
+            found = {pair.key[len(runs.OPEN) :] for pair in pairs}
+            for address in sorted(found & lying):
+                self._drive(address)
+            lying = found
+            await trio.sleep(c.LOOK_EVERY_S)
+
+    # --- requests ---------------------------------------------------------------------------------
+
+    async def handle(self, request: Request) -> Response:
+        path, _, query = request.path.partition("?")
+        address, _, verb = unquote(path[len(ROOT) + 1 :]).partition("/")
+        try:
+            if not address and request.method == "GET":
+                return Response(200, {"repeats": self._repeats, "steps": c.STEPS, "packed": c.PACKED_CHARS})
+            if address and (request.method, verb) == ("PUT", ""):
+                return await self._put(address, request.body)
+            if address and (request.method, verb) == ("GET", ""):
+                return await self._show(address, parse_qs(query).get("after", [""])[0])
+            if address and (request.method, verb) == ("POST", "cancel"):
+                return await self._cancel(address)
+            if address and (request.method, verb) == ("POST", "rerun"):
+                return await self._rerun(address, request.body)
+        except (Away, Unsure):
+            return later()
+        return Response(404, {"error": "no such path"})
+
+    async def _put(self, address: str, body: bytes) -> Response:
+        try:
+            packed = wire.convert(orjson.loads(body), _Body).plan
+            plan = plans.unpack(packed)
+        except (orjson.JSONDecodeError, msgspec.ValidationError, BadPlan) as error:
+            return Response(400, {"error": str(error)})
+        wrong = plans.problems(plan, self._repeats)
+        if wrong or plan.address != address:
+            listed = [{"place": plans.where(p.path), "error": p.text} for p in wrong[: c.ERRORS_SHOWN]]
+            return Response(400, {"error": "the plan cannot be run", "problems": listed})
+        return await self._begin(plan)
+
+    async def _begin(self, plan: Plan) -> Response:
+        """Refused whole, or recorded; one known already is brought on, if it is the same."""
+        held = await self._read(plan.address)
+        if held is None:
+            packed = plans.pack(plan)
+            if len(packed) > c.PACKED_CHARS or runs.changes_of(packed, self._limits.value_kb) > self._limits.txn_ops:
+                return Response(400, {"error": "the plan is larger than what is recorded at once"})
+            refused = await self._refusal(plan)
+            if refused is not None:
+                return refused
+            await self._room(1)
+            at = self._core.wall()
+            change = runs.record(plan.address, plans.digest(plan), packed, at, self._limits.value_kb)
+            await self._commit(change)
+            held = await self._read(plan.address)
+            if held is None:
+                return later()
+            log.info("run %s: %d steps", plan.address, len(plan.steps))
+        if held.run.digest != plans.digest(plan):
+            differs = plans.differences(held.plan, plan)
+            return Response(409, {"error": "this run was sent before with other content", "differs": differs})
+        return await self._settled(held)
+
+    async def _refusal(self, plan: Plan) -> Response | None:
+        """What any of its jobs would be refused for, before any of them is sent."""
+        found: list[dict[str, str]] = []
+        named = plans.specs(plan)
+        for number, step in enumerate(plan.steps):
+            if number % c.CHECKS_AT_ONCE == 0:
+                await trio.sleep(0)
+            spec = named[step.name]
+            wrong = self._wrong(spec)
+            if wrong is None and step.jobs:
+                wrong = await self._core.users.wrong_need(msgspec.structs.replace(spec, needs=step.jobs))
+            if wrong is not None:
+                found.append({"place": f"steps[{number}]", "step": step.name, "error": wrong})
+        if not found:
+            return None
+        return Response(422, {"error": "refused whole, nothing was sent", "problems": found[: c.ERRORS_SHOWN]})
+
+    def _wrong(self, spec: wire.JobSpec) -> str | None:
+        """Why POST /work would refuse it; Away if this node cannot tell yet. The one check for both paths."""
+        try:
+            if self._core.users.check(wire.to_plain(spec)) is None:
+                raise Away("the machine types are not known yet")
+        except (Malformed, Impossible) as error:
+            return str(error)
+        return None
+
+    async def _settled(self, held: Held) -> Response:
+        """The answer once all its jobs are there or all are withdrawn; 202 if that takes longer."""
+        if held.run.phase in runs.PENDING:
+            ended = self._drive(held.address)
+            with trio.move_on_after(core.SUBMIT_WAIT_S):
+                await ended.wait()
+            held = await self._read(held.address) or held
+        answer = {"run": held.address, "phase": held.run.phase.value, "steps": len(held.specs)}
+        if held.run.reason:
+            answer["reason"] = held.run.reason
+        if held.run.phase in runs.PENDING:
+            return Response(202, answer, {"Retry-After": str(core.RETRY_AFTER_S)})
+        return Response(422 if held.run.phase is Phase.REFUSED else 200, answer)
+
+    async def _show(self, address: str, after: str) -> Response:
+        held = await self._read(address)
+        if held is None:
+            return Response(404, {"error": "no such run"})
+        await self._core.watched.sync()
+        names = list(held.specs)
+        begin = int(after) if after.isdigit() else 0
+        rows = [self._row(held, name) for name in names[begin : begin + c.STEPS_PAGE]]
+        answer: dict[str, Any] = {"run": address, "status": self._status(held), "phase": held.run.phase.value}
+        if held.run.reason:
+            answer["reason"] = held.run.reason
+        answer["total"] = len(names)
+        answer["rows"] = rows
+        if begin + c.STEPS_PAGE < len(names):
+            answer["next"] = begin + c.STEPS_PAGE
+        return Response(200, answer)
+
+    def _row(self, held: Held, name: str) -> dict[str, Any]:
+        spec = held.specs[name]
+        entry = self._core.watched.replica.jobs.get(spec.id)
+        if entry is None:
+            return {"step": name, "name_id": spec.id, "status": "not sent", "pieces": spec.tasks}
+        return {"step": name, "pieces": spec.tasks, **self._core.users.describe(spec.id, entry)}
+
+    def _status(self, held: Held) -> str:
+        """One word for the whole: the phase while it is not sent, else what its jobs say together."""
+        if held.run.phase is not Phase.SENT:
+            return str(held.run.phase.value)
+        jobs = self._core.watched.replica.jobs
+        states = [jobs[spec.id].state for spec in held.specs.values() if spec.id in jobs]
+        if any(state is wire.JobState.CANCELLED for state in states):
+            return str(wire.JobState.CANCELLED.value)
+        over = len(states) == len(held.specs) and all(state is wire.JobState.DONE for state in states)
+        return str((wire.JobState.DONE if over else wire.JobState.RUNNING).value)
+
+    async def _cancel(self, address: str) -> Response:
+        held = await self._read(address)
+        if held is None:
+            return Response(404, {"error": "no such run"})
+        if held.run.phase in (Phase.OPEN, Phase.SENT):
+            outcome = await self._commit(runs.moved(address, held.run, held.version, Phase.CANCELLING))
+            if not outcome.applied:
+                return later()
+            held = await self._read(address) or held
+        answer = await self._settled(held)
+        return Response(200, answer.body) if answer.status == 422 else answer
+
+    async def _rerun(self, address: str, body: bytes) -> Response:
+        """Begin the next attempt: the steps named and all after them anew, the others as they are."""
+        try:
+            first = wire.convert(orjson.loads(body), _Again).first
+        except (orjson.JSONDecodeError, msgspec.ValidationError) as error:
+            return Response(400, {"error": str(error)})
+        held = await self._read(address)
+        if held is None:
+            return Response(404, {"error": "no such run"})
+        unknown = [name for name in first if name not in held.specs]
+        if unknown or not first:
+            said = [f"no step is called {name!r}{plans.meant(name, held.specs)}" for name in unknown]
+            return Response(400, {"error": "; ".join(said) or "no step is named"})
+        plan = plans.redone(held.plan, first)
+        await self._core.watched.sync()
+        wrong = [] if await self._read(plan.address) else self._not_again(held, plan)
+        if wrong:
+            return Response(409, {"error": "cannot be run again so", "problems": wrong[: c.ERRORS_SHOWN]})
+        return await self._begin(plan)
+
+    def _not_again(self, held: Held, plan: Plan) -> list[dict[str, str]]:
+        if held.run.phase in runs.PENDING:
+            return [{"error": f"the run is {held.run.phase.value}; wait until that is over"}]
+        found = []
+        for step in plan.steps:
+            spec = held.specs[step.name]
+            entry = self._core.watched.replica.jobs.get(spec.id)
+            state = entry.state if entry is not None else wire.JobState.CANCELLED
+            if step.attempt < plan.attempt:
+                wrong = "is withdrawn; run it again too" if state is wire.JobState.CANCELLED else ""
+            elif state not in wire.FINAL:
+                wrong = "is not over yet; cancel it first"
+            elif state is wire.JobState.DONE and spec.job_class not in self._repeats:
+                wrong = f"is done, and the operators let no job of class {spec.job_class!r} repeat"
+            else:
+                wrong = ""
+            if wrong:
+                found.append({"step": step.name, "error": f"step {step.name!r} {wrong}"})
+        return found
+
+    # --- reading ----------------------------------------------------------------------------------
+
+    async def _read(self, address: str) -> Held | None:
+        """Linearizable. Away if too many wait already: polls of runs must not crowd out those of jobs."""
+        if self._reads.statistics().tasks_waiting >= c.READS_WAITING:
+            raise Away("too many look at runs")
+        async with self._reads:
+            pair = await self._state.read(runs.RUN + address) if plans.ADDRESS.fullmatch(address) else None
+            if pair is None:
+                return None
+            run: RunRecord = wire.convert(pair.value, RunRecord)
+            plan, specs = await self._plan(address, run)
+        return Held(address, run, pair.version, plan, specs)
+
+    async def _plan(self, address: str, run: RunRecord) -> tuple[Plan, dict[str, wire.JobSpec]]:
+        known = self._plans.get((address, run.digest))
+        if known is None:
+            texts = [run.plan]
+            for number in range(run.pieces):
+                piece = await self._state.read(f"{runs.PIECE}{address}/{number}")
+                texts.append(piece.value["text"] if piece is not None else "")
+            plan = plans.unpack("".join(texts))
+            known = self._plans[(address, run.digest)] = (plan, plans.specs(plan))
+            if len(self._plans) > c.PLANS_KEPT:
+                self._plans.popitem(last=False)
+        return known
+
+    # --- bringing a run on ------------------------------------------------------------------------
+
+    def _drive(self, address: str) -> trio.Event:
+        """Bring it on in the background, once at a time at this node; the event tells that it has ended."""
+        ended = self._driven.get(address)
+        if ended is None:
+            ended = trio.Event()
+            if self._nursery is None:
+                ended.set()
+                return ended
+            self._driven[address] = ended
+            self._nursery.start_soon(self._bring_on, address, ended)
+        return ended
+
+    async def _bring_on(self, address: str, ended: trio.Event) -> None:
+        """Cancelled or dead at any moment, it leaves a run that anyone can bring on from there."""
+        try:
+            while (held := await self._patiently(self._read, address)) is not None and held.run.phase in runs.PENDING:
+                step = self._send if held.run.phase is Phase.OPEN else self._withdraw
+                await self._patiently(step, held)
+        except Exception:
+            log.exception("run %s cannot be brought on", address)
+        finally:
+            self._driven.pop(address, None)
+            ended.set()
+
+    async def _patiently(self, do: Callable[[Any], Any], what: Any) -> Any:
+        """Until the state service has answered; whatever was carried out without an answer is found by reading."""
+        while True:
+            try:
+                return await do(what)
+            except Refused:
+                raise
+            except (Away, Unsure):
+                await trio.sleep(core.STATE_RETRY_S)
+
+    async def _send(self, held: Held) -> None:
+        """Create what is missing, then call it sent. Returns early if somebody else moved the run."""
+        await self._core.watched.sync()
+        present = {spec.id for spec in held.specs.values() if spec.id in self._core.watched.replica.jobs}
+        while missing := [spec for spec in held.specs.values() if spec.id not in present]:
+            most = self._state.later_most()
+            change = runs.create(held.address, held.version, missing, held.run.at, self._limits, most)
+            wrong = next(((spec, text) for spec in missing[: len(change.ids)] if (text := self._wrong(spec))), None)
+            if wrong is not None:
+                reason = f"{wrong[0].id}: {wrong[1]}"
+                await self._commit(runs.moved(held.address, held.run, held.version, Phase.REFUSING, reason))
+                return
+            async with self._turn:
+                await self._room(len(change.writes))
+                outcome = await self._commit(change)
+            if runs.RUN + held.address in outcome.failed:
+                return
+            present.update(change.ids if outcome.applied else _jobs_of(outcome))
+        await self._commit(runs.moved(held.address, held.run, held.version, Phase.SENT))
+
+    async def _withdraw(self, held: Held) -> None:
+        """Cancel its jobs in order, those that need another go with it; a refused run takes only its own along."""
+        await self._core.watched.sync()
+        for spec in held.specs.values():
+            entry = self._core.watched.replica.jobs.get(spec.id)
+            if entry is None or entry.state in wire.FINAL:
+                continue
+            if held.run.phase is Phase.REFUSING and entry.record.run != held.address:
+                continue
+            if (await self._core.users.cancel(spec.id)).status != 200:
+                raise Away(f"{spec.id} cannot be cancelled now")
+        await self._commit(runs.moved(held.address, held.run, held.version, runs.ENDING[held.run.phase]))
+
+    async def _room(self, changes: int) -> None:
+        """Wait until the budget has more than those may need who submit single jobs."""
+        wanted = min(changes, self._state.later_most())
+        while self._state.writes_spare() < wanted:
+            await trio.sleep(c.ROOM_POLL_S)
+
+    async def _commit(self, change: Change) -> Outcome:
+        return await self._state.txn(change.when, change.writes)
+
+
+def _jobs_of(outcome: Outcome) -> list[str]:
+    """The jobs that turned out to be there already."""
+    return [key[len(store.JOB) :] for key in outcome.failed if key.startswith(store.JOB)]
--- a/pepperlatch/protocol/state.py
+++ b/pepperlatch/protocol/state.py
@@ -114,6 +114,11 @@
         except (Away, Unsure):
             return False
 
+    async def read(self, key: str) -> wire.KeyValue | None:
+        """One key as it stands; None if there is none."""
+        status, answer = await self._call("GET", f"{wire.KEYS}/{key}")
+        return None if status == 404 else _checked(answer, wire.KeyValue)
+
     async def read_all(self, prefix: str) -> tuple[int, list[wire.KeyValue]]:
         """All pairs below a prefix, with the revision of the first page."""
         pairs: list[wire.KeyValue] = []
--- a/pepperlatch/protocol/wire.py
+++ b/pepperlatch/protocol/wire.py
@@ -57,6 +57,7 @@
     "zone": "yard", "spread": "apart", "spot": "loaners", "estimate_s": "expected_s",
     "checkpoint_s": "snapshot_every_s", "save_s": "snapshot_cost_s", "deadline_s": "due_s", "needs": "prereqs",
 }  # fmt: skip
+ID_FIELD, NEEDS_FIELD, KIND_FIELD = _JOB["id"], _JOB["needs"], _JOB["kind"]
 
 
 class JobSpec(msgspec.Struct, rename=_JOB, gc=False):
@@ -202,8 +203,23 @@
     return msgspec.convert(value, kind)
 
 
+def job_id(text: str) -> str:
+    return f"run-{text}"
+
+
 def job_id_of(value: dict[str, Any]) -> object:
-    return value.get(_JOB["id"])
+    return value.get(ID_FIELD)
+
+
+def job_fields(values: dict[str, Any]) -> dict[str, Any]:
+    """A description by this project's names, as POST /work takes it."""
+    return {_JOB.get(name, name): value for name, value in values.items()}
+
+
+def job_words(fields: dict[str, Any]) -> dict[str, Any]:
+    """The other way round, for people."""
+    words = {spelled: name for name, spelled in _JOB.items()}
+    return {words.get(name, name): value for name, value in fields.items()}
 
 
 def job_answer(job_id: str, state: JobState, done: int | None = None, running: int | None = None) -> dict[str, Any]:
