--- /dev/null
+++ b/pepperlatch/command/cli.py
@@ -0,0 +1,283 @@
+"""The `pepperlatch` command. What is heavy is imported by the subcommand that needs it.
+
+Exit codes: 0 done, 1 refused (or cancelled, with --wait), 2 wrong usage or a file with mistakes, 3 no answer in time.
+"""
+
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+try:
+    import click
+except ImportError:  # pragma: no cover - a controller's own installation has no command line
+    sys.exit("pepperlatch: the command line needs more libraries: pip install 'pepperlatch[client]'")
+
+from pepperlatch import __version__
+from pepperlatch.command import output
+
+F = TypeVar("F", bound=Callable[..., Any])
+JOB_FILE = click.Path(exists=True, dir_okay=False, allow_dash=True)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="pepperlatch")
+def cli() -> None:
+    """A cluster scheduler: run a controller, submit jobs and pipelines, look at them.
+
+    \b
+    Examples:
+      pepperlatch submit --node 10.0.0.1:8080 --node 10.0.0.2:8080 sweep.json --wait
+      pepperlatch pipeline check billing.yaml
+      pepperlatch pipeline run billing.yaml --key 2026-12 --wait
+      pepperlatch admin --node 10.0.0.1:8081 view
+
+    Nodes, team and output may stand in a settings file or in PEPPERLATCH_* variables.
+    """
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run a command; its exit code."""
+    from pepperlatch.command.preferences import BadPreferences
+    from pepperlatch.command.service import UNREACHABLE, USAGE, NoAnswer
+    from pepperlatch.settings import SettingsError
+
+    try:
+        code = cli.main(argv, prog_name="pepperlatch", standalone_mode=False)
+        return code if isinstance(code, int) else 0
+    except click.exceptions.Exit as ended:
+        return ended.exit_code
+    except click.ClickException as error:
+        error.show()
+        return error.exit_code
+    except click.Abort:
+        return 130
+    except (BadPreferences, SettingsError, OSError, ValueError) as error:
+        output.say(str(error))
+        return USAGE
+    except NoAnswer as error:
+        output.say(f"no answer: {error}")
+        return UNREACHABLE
+
+
+def remote(admin: bool = False) -> Callable[[F], F]:
+    """The options of all commands that talk to a service; they arrive as one `Talk`."""
+
+    def add(command: F) -> F:
+        def wrapped(node: tuple[str, ...], timeout: float | None, output: str | None, **rest: Any) -> Any:
+            from pepperlatch.command.talk import Talk
+
+            return command(Talk.of(node, timeout, output, admin), **rest)
+
+        wrapped.__doc__, wrapped.__name__ = command.__doc__, command.__name__
+        wrapped.__click_params__ = getattr(command, "__click_params__", [])  # type: ignore[attr-defined]
+        of = "its own listener" if admin else "several are tried in turn"
+        options = (
+            click.option("--node", multiple=True, metavar="HOST:PORT", help=f"address of a controller; {of}"),
+            click.option("--timeout", type=click.FloatRange(min=0), metavar="S", help="seconds to go on for; 60"),
+            click.option("--output", type=click.Choice(["table", "json"]), help="table for people, json for programs"),
+        )
+        for option in reversed(options):
+            wrapped = option(wrapped)
+        return wrapped  # type: ignore[return-value]
+
+    return add
+
+
+# --- the service ----------------------------------------------------------------------------------
+
+
+@cli.command()
+@click.option("--config", required=True, metavar="FILE", help="settings file (TOML)")
+@click.option("--features", type=click.Path(path_type=Path), metavar="FILE", help="what is on; without it all is off")
+def serve(config: str, features: Path | None) -> int:
+    """Run a controller until something ends it."""
+    from pepperlatch.command.serve import serve as run
+
+    return run(config, features)
+
+
+@cli.group()
+def admin() -> None:
+    """Operators' settings and views, at a controller's own listener."""
+
+
+@admin.command()
+@remote(admin=True)
+def view(talk: Any) -> int:
+    """Who leads, and at the leader machines, drains and teams."""
+    return int(talk.print("GET", "/admin/view"))
+
+
+@admin.command()
+@remote(admin=True)
+def settings(talk: Any) -> int:
+    """All settings with value, bounds, unit and reason."""
+    return int(talk.settings())
+
+
+@admin.command(name="set")
+@remote(admin=True)
+@click.argument("values", nargs=-1, required=True, metavar="version=N NAME=VALUE...")
+def set_(talk: Any, values: tuple[str, ...]) -> int:
+    """Change settings.
+
+    \b
+    Example: pepperlatch admin set --node 10.0.0.1:8081 version=7 idle_s=20
+    """
+    return int(talk.change(values))
+
+
+# --- jobs -----------------------------------------------------------------------------------------
+
+
+@cli.command()
+@remote()
+@click.argument("files", nargs=-1, required=True, type=JOB_FILE, metavar="FILE...")
+@click.option("--key", default="", help="the occasion; the same job under another key is another job")
+@click.option("--again", is_flag=True, help="a new job though the same was sent; its class must be allowed to repeat")
+@click.option("--wait", is_flag=True, help="until all are done")
+def submit(talk: Any, files: tuple[str, ...], key: str, again: bool, wait: bool) -> int:
+    """Submit jobs from JSON files (- for standard input), as POST /work takes them.
+
+    A job without an id gets one that follows from what it asks for and from --key, so that sending it twice, or from
+    a pipeline file too, makes one job.
+
+    \b
+    Examples:
+      pepperlatch submit sweep.json --key 2026-12-01 --wait
+      generate | pepperlatch submit -
+    """
+    return int(talk.submit(files, key, again, wait))
+
+
+@cli.command()
+@remote()
+@click.argument("jobs", nargs=-1, required=True, metavar="ID...")
+@click.option("--wait", is_flag=True, help="until all are over")
+def status(talk: Any, jobs: tuple[str, ...], wait: bool) -> int:
+    """Show jobs, and why they wait."""
+    return int(talk.status(jobs, wait))
+
+
+@cli.command()
+@remote()
+@click.argument("jobs", nargs=-1, required=True, metavar="ID...")
+def cancel(talk: Any, jobs: tuple[str, ...]) -> int:
+    """Cancel jobs, and all that need them."""
+    return int(talk.cancel(jobs))
+
+
+@cli.command()
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+def completion(shell: str) -> None:
+    """Print what makes a shell complete this command.
+
+    \b
+    Example, bash: pepperlatch completion bash > ~/.local/share/bash-completion/completions/pepperlatch
+    """
+    from click.shell_completion import get_completion_class
+
+    kind = get_completion_class(shell)
+    assert kind is not None
+    click.echo(kind(cli, {}, "pepperlatch", "_PEPPERLATCH_COMPLETE").source())
+
+
+# --- pipelines ------------------------------------------------------------------------------------
+
+
+@cli.group()
+def pipeline() -> None:
+    """Pipeline files: check, plan, run, look, cancel, run again from a step."""
+
+
+PIPELINE_FILE = click.argument("file", type=JOB_FILE)
+KEY = click.option("--key", default=None, help="the occasion, e.g. 2026-12; it goes before the file's own")
+
+
+@pipeline.command()
+def schema() -> None:
+    """Print the JSON schema of a pipeline file, for editors."""
+    from pepperlatch.pipelines.model import schema as made
+
+    output.json(made())
+
+
+@pipeline.command()
+@PIPELINE_FILE
+@KEY
+def check(file: str, key: str | None) -> int:
+    """Check a file; no node is asked. Every mistake is listed with its line."""
+    from pepperlatch.command import pipelines
+
+    plan = pipelines.read(file, key)
+    click.echo(f"{file}: {plan.address}, {len(plan.steps)} jobs, nothing wrong")
+    return 0
+
+
+@pipeline.command(name="plan")
+@PIPELINE_FILE
+@KEY
+@click.option("--output", "form", type=click.Choice(["table", "json"]), default="table")
+def plan_(file: str, key: str | None, form: str) -> int:
+    """What would be sent, in order, with the time to spare of each step; no node is asked."""
+    from pepperlatch.command import pipelines
+
+    return pipelines.show_plan(pipelines.read(file, key), form)
+
+
+@pipeline.command()
+@remote()
+@PIPELINE_FILE
+@KEY
+@click.option("--wait", is_flag=True, help="until it is over")
+def run(talk: Any, file: str, key: str | None, wait: bool) -> int:
+    """Submit a file's jobs. Sent again under the same key it completes what is missing, once.
+
+    \b
+    Example: pepperlatch pipeline run billing.yaml --key 2026-12 --wait
+    """
+    from pepperlatch.command import pipelines
+
+    return pipelines.run(talk, pipelines.read(file, key, talk.preferences.team), wait)
+
+
+@pipeline.command(name="status")
+@remote()
+@click.argument("name", metavar="NAME[@KEY]")
+@click.option("--wait", is_flag=True, help="until it is over")
+def pipeline_status(talk: Any, name: str, wait: bool) -> int:
+    """Show a run, step by step."""
+    from pepperlatch.command import pipelines
+
+    return pipelines.status(talk, name, wait)
+
+
+@pipeline.command(name="cancel")
+@remote()
+@click.argument("name", metavar="NAME[@KEY]")
+def pipeline_cancel(talk: Any, name: str) -> int:
+    """Cancel all of a run, also steps still on their way."""
+    from pepperlatch.command import pipelines
+
+    return pipelines.cancel(talk, name)
+
+
+@pipeline.command()
+@remote()
+@click.argument("name", metavar="NAME[@KEY]")
+@click.option("--from", "first", multiple=True, required=True, metavar="STEP", help="may be given several times")
+@click.option("--wait", is_flag=True, help="until it is over")
+def rerun(talk: Any, name: str, first: tuple[str, ...], wait: bool) -> int:
+    """Run again from these steps on; those before them are kept as they are.
+
+    \b
+    Example: pepperlatch pipeline rerun billing@2026-12 --from render
+    """
+    from pepperlatch.command import pipelines
+
+    return pipelines.rerun(talk, name, first, wait)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/pepperlatch/command/serve.py
+++ b/pepperlatch/command/serve.py
@@ -1,6 +1,5 @@
-"""The `pepperlatch` command. Heavy parts are imported by the subcommand that needs them."""
+"""Runs a controller. Imports nothing that a controller does not need, and nothing that is off."""
 
-import argparse
 import logging
 import os
 import sys
@@ -12,12 +11,6 @@
     from pepperlatch.controller.parts import Core, Part
     from pepperlatch.features import Features
 
-REMOTE = {
-    "submit": "submit a job from a JSON file",
-    "status": "show a job",
-    "cancel": "cancel a job",
-    "admin": "operators' settings and views",
-}
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
@@ -55,30 +48,3 @@
 
         parts.append(lambda core: Pipelines(core, wanted.pipelines))
     return parts
-
-
-def main(argv: list[str] | None = None) -> int:
-    parser = argparse.ArgumentParser(prog="pepperlatch", description="a cluster scheduler")
-    commands = parser.add_subparsers(dest="command", required=True)
-    run = commands.add_parser("serve", help="run a controller node")
-    run.add_argument("--config", required=True, metavar="FILE", help="settings file (TOML)")
-    for name, text in REMOTE.items():
-        command = commands.add_parser(name, help=text)
-        command.add_argument(
-            "--node", required=True, metavar="HOST:PORT", help="address of a controller (for admin: its own listener)"
-        )
-        if name == "admin":
-            command.add_argument("what", choices=["settings", "view", "set"])
-            command.add_argument("values", nargs="*", metavar="NAME=VALUE")
-        else:
-            command.add_argument("job", help="file, or - for standard input" if name == "submit" else "job id")
-    args = parser.parse_args(argv)
-    if args.command == "serve":
-        return serve(args.config)
-    from pepperlatch.command import client
-
-    return client.run(args)
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/pepperlatch/constants/core.py
+++ b/pepperlatch/constants/core.py
@@ -8,6 +8,8 @@
 
 # --- HTTP -----------------------------------------------------------------------------------------
 MAX_BODY_BYTES: Final = 64 * 1024  # bytes; the protocol's limit for request bodies
+LINGER_S: Final = 1.0  # s; how long what follows a refused request is still read, so that its answer arrives
+LINGER_BYTES: Final = 1024 * 1024  # bytes; and how much of it
 READ_CHUNK_BYTES: Final = 64 * 1024  # bytes; one read takes a whole request of the largest size
 REQUEST_READ_S: Final = 5.0  # s; a slow client is cut off after this, users give up after 5 s anyway
 IDLE_CONNECTION_S: Final = 90.0  # s; users poll every 5 s and workers report faster, so idle means gone
@@ -19,6 +21,9 @@
 USER_WAITS_S: Final = 5.0  # s; how long the protocol lets a user wait; the command line does the same
 USER_GIVES_UP_S: Final = 60.0  # s; how long the protocol lets a user repeat a request
 USER_PAUSE_S: Final = 1.0  # s; least pause before a user repeats a request
+USER_POLL_S: Final = 5.0  # s; how often the protocol's users look at a job
+RETRY_AFTER_MOST_S: Final = 30.0  # s; the longest that the protocol's users heed
+CLIENT_CONNECTIONS: Final = 16  # connections of the command line; it asks one node at a time
 
 # --- state service --------------------------------------------------------------------------------
 STATE_REQUEST_S: Final = 1.5  # s; answers take under 10 ms, now and then a few hundred
--- a/pepperlatch/controller/admin.py
+++ b/pepperlatch/controller/admin.py
@@ -4,7 +4,9 @@
 from typing import Any
 
 import orjson
+import trio
 
+from pepperlatch.constants import core as c
 from pepperlatch.controller import store
 from pepperlatch.controller.store import Watched
 from pepperlatch.policy.tuning import KNOBS, BadValue, Tuning, checked
@@ -15,6 +17,12 @@
 SETTINGS, VIEW = "/admin/settings", "/admin/view"
 
 
+def _away() -> Response:
+    """A change that was sent may still be carried out; the version tells."""
+    error = "the state service does not answer; whether a change was made `settings` tells"
+    return Response(503, {"error": error}, {"Retry-After": str(c.RETRY_AFTER_S)})
+
+
 class Admin:
     def __init__(self, watched: Watched, state: StateClient, view: Callable[[], dict[str, Any]]) -> None:
         self._watched = watched
@@ -22,6 +30,12 @@
         self._view = view
 
     async def handle(self, request: Request) -> Response:
+        """Answers at a deadline: an operator who looks into an outage must not wait for its end."""
+        with trio.move_on_after(c.SUBMIT_WAIT_S):
+            return await self._answer(request)
+        return _away()
+
+    async def _answer(self, request: Request) -> Response:
         try:
             if request.path == VIEW and request.method == "GET":
                 return Response(200, self._view())
@@ -31,7 +45,7 @@
             if request.path == SETTINGS and request.method == "PUT":
                 return await self._change(request.body)
         except (Away, Unsure):
-            return Response(503, {"error": "the state service cannot be reached"})
+            return _away()
         return Response(404, {"error": "no such path"})
 
     def _describe(self) -> dict[str, Any]:
--- a/pepperlatch/controller/leader.py
+++ b/pepperlatch/controller/leader.py
@@ -259,7 +259,7 @@
 
     def _send_direct(self, now: float) -> None:
         touched, self.cluster.touched = self.cluster.touched, set()
-        for machine in touched:
+        for machine in sorted(touched, key=lambda m: m.name):  # the same inputs give the same commands
             if machine.status is not Status.UP or machine.name in self.cluster.unaccounted:
                 continue
             if machine.sending or now < machine.send_after:
--- a/pepperlatch/controller/records.py
+++ b/pepperlatch/controller/records.py
@@ -23,7 +23,7 @@
         self._tidied: set[str] = set()
 
     def record(self, now: float) -> None:
-        for machine in self._duty.cluster.to_record:
+        for machine in sorted(self._duty.cluster.to_record, key=lambda m: m.name):
             record = store.MachineRecord(machine.addr, machine.type.name, machine.zone, machine.spot, machine.draining)
             changes = [wire.put(store.MACHINE + machine.name, wire.to_plain(record))]
             self._duty.writer.add(Write(changes, partial(self._recorded, machine.name)))
--- a/pepperlatch/pipelines/part.py
+++ b/pepperlatch/pipelines/part.py
@@ -151,7 +151,7 @@
 
     async def _refusal(self, plan: Plan) -> Response | None:
         """What any of its jobs would be refused for, before any of them is sent."""
-        found: list[dict[str, str]] = []
+        found: list[dict[str, Any]] = []
         named = plans.specs(plan)
         for number, step in enumerate(plan.steps):
             if number % c.CHECKS_AT_ONCE == 0:
@@ -159,20 +159,25 @@
             spec = named[step.name]
             wrong = self._wrong(spec)
             if wrong is None and step.jobs:
-                wrong = await self._core.users.wrong_need(msgspec.structs.replace(spec, needs=step.jobs))
+                need = await self._core.users.wrong_need(msgspec.structs.replace(spec, needs=step.jobs))
+                wrong = (422, need) if need is not None else None
             if wrong is not None:
-                found.append({"place": f"steps[{number}]", "step": step.name, "error": wrong})
+                place = f"steps[{number}]"
+                found.append({"place": place, "step": step.name, "status": wrong[0], "error": wrong[1]})
         if not found:
             return None
-        return Response(422, {"error": "refused whole, nothing was sent", "problems": found[: c.ERRORS_SHOWN]})
+        status = min(problem["status"] for problem in found)
+        return Response(status, {"error": "refused whole, nothing was sent", "problems": found[: c.ERRORS_SHOWN]})
 
-    def _wrong(self, spec: wire.JobSpec) -> str | None:
-        """Why POST /work would refuse it; Away if this node cannot tell yet. The one check for both paths."""
+    def _wrong(self, spec: wire.JobSpec) -> tuple[int, str] | None:
+        """What POST /work would refuse it with; Away if this node cannot tell yet. The one check for both paths."""
         try:
             if self._core.users.check(wire.to_plain(spec)) is None:
                 raise Away("the machine types are not known yet")
-        except (Malformed, Impossible) as error:
-            return str(error)
+        except Malformed as error:
+            return 400, str(error)
+        except Impossible as error:
+            return 422, str(error)
         return None
 
     async def _settled(self, held: Held) -> Response:
@@ -210,8 +215,8 @@
         spec = held.specs[name]
         entry = self._core.watched.replica.jobs.get(spec.id)
         if entry is None:
-            return {"step": name, "name_id": spec.id, "status": "not sent", "pieces": spec.tasks}
-        return {"step": name, "pieces": spec.tasks, **self._core.users.describe(spec.id, entry)}
+            return {"step": name, wire.ID_FIELD: spec.id, "status": "not sent", "tasks": spec.tasks}
+        return {"step": name, "tasks": spec.tasks, **self._core.users.describe(spec.id, entry)}
 
     def _status(self, held: Held) -> str:
         """One word for the whole: the phase while it is not sent, else what its jobs say together."""
@@ -346,9 +351,9 @@
         while missing := [spec for spec in held.specs.values() if spec.id not in present]:
             most = self._state.later_most()
             change = runs.create(held.address, held.version, missing, held.run.at, self._limits, most)
-            wrong = next(((spec, text) for spec in missing[: len(change.ids)] if (text := self._wrong(spec))), None)
+            wrong = next(((spec, why) for spec in missing[: len(change.ids)] if (why := self._wrong(spec))), None)
             if wrong is not None:
-                reason = f"{wrong[0].id}: {wrong[1]}"
+                reason = f"{wrong[0].id}: {wrong[1][1]}"
                 await self._commit(runs.moved(held.address, held.run, held.version, Phase.REFUSING, reason))
                 return
             async with self._turn:
--- a/pepperlatch/pipelines/plan.py
+++ b/pepperlatch/pipelines/plan.py
@@ -119,8 +119,7 @@
 
 def problems(plan: Plan, repeats: Collection[str] | None = None) -> list[Problem]:
     """All that keeps the plan from being run; `repeats`: the classes that may run again, None if not known."""
-    found = list(_names(plan)) + list(_needs(plan))
-    if found:
+    if found := structure(plan):
         return found
     try:
         named = specs(plan)
@@ -133,6 +132,11 @@
     return list(_jobs(plan, named, repeats))
 
 
+def structure(plan: Plan) -> list[Problem]:
+    """What is wrong with names and needs alone, whatever the jobs are."""
+    return list(_names(plan)) + list(_needs(plan))
+
+
 def _names(plan: Plan) -> Iterator[Problem]:
     if not _is_name(plan.name):
         yield Problem(("name",), "a name is letters, digits, '_', '.' and '-', at most 60 of them")
--- a/pepperlatch/protocol/http/client.py
+++ b/pepperlatch/protocol/http/client.py
@@ -45,15 +45,23 @@
     async def request(
         self, addr: str, method: str, path: str, body: Any = None, deadline_s: float = 2.0
     ) -> tuple[int, Any]:
+        """Status and decoded body. Raises NotSent or Lost. Cancelled, it closes the connection it used."""
+        status, _, answer = await self.ask(addr, method, path, body, deadline_s)
+        return status, answer
+
+    async def ask(
+        self, addr: str, method: str, path: str, body: Any = None, deadline_s: float = 2.0
+    ) -> tuple[int, str, Any]:
+        """As `request`, with what the answer says in Retry-After between the two ("" if nothing)."""
         payload = b"" if body is None else orjson.dumps(body)
         started = trio.current_time()
         link = await self._link(addr, min(c.CONNECT_S, deadline_s))
         kept = False
         try:
             with trio.fail_after(max(0.01, deadline_s - (trio.current_time() - started))):
-                status, data = await self._exchange(link, addr, method, path, payload)
+                status, retry_after, data = await self._exchange(link, addr, method, path, payload)
                 kept = self._keep(addr, link)
-            return status, (orjson.loads(data) if data else None)
+            return status, retry_after, (orjson.loads(data) if data else None)
         except (
             trio.TooSlowError,
             OSError,
@@ -91,7 +99,9 @@
                 raise NotSent(f"{addr}: {error!r}") from None
             raise
 
-    async def _exchange(self, link: _Link, addr: str, method: str, path: str, payload: bytes) -> tuple[int, bytes]:
+    async def _exchange(
+        self, link: _Link, addr: str, method: str, path: str, payload: bytes
+    ) -> tuple[int, str, bytes]:
         conn, stream = link.conn, link.stream
         headers = [("Host", addr), ("Content-Length", str(len(payload))), ("Content-Type", "application/json")]
         data = conn.send(h11.Request(method=method, target=path, headers=headers)) or b""
@@ -99,17 +109,18 @@
             data += conn.send(h11.Data(data=payload)) or b""
         data += conn.send(h11.EndOfMessage()) or b""
         await stream.send_all(data)
-        status, answer = 0, bytearray()
+        status, retry_after, answer = 0, "", bytearray()
         while True:
             event = conn.next_event()
             if event is h11.NEED_DATA:
                 conn.receive_data(await stream.receive_some(c.READ_CHUNK_BYTES))
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                retry_after = next((v.decode("ascii") for name, v in event.headers if name == b"retry-after"), "")
             elif isinstance(event, h11.Data):
                 answer += event.data
             elif isinstance(event, h11.EndOfMessage):
-                return status, bytes(answer)
+                return status, retry_after, bytes(answer)
             elif isinstance(event, h11.ConnectionClosed):
                 raise h11.RemoteProtocolError("closed before the answer")
 
--- a/pepperlatch/protocol/http/server.py
+++ b/pepperlatch/protocol/http/server.py
@@ -1,6 +1,7 @@
 """A small HTTP server: every request is answered by one async function, at a deadline."""
 
 import logging
+import re
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -28,6 +29,14 @@
     headers: dict[str, str] = field(default_factory=dict)
 
 
+class _Refused(Exception):
+    """A request that is answered without being read to its end; the connection ends with it."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
 Handler = Callable[[Request], Awaitable[Response]]
 
 
@@ -60,13 +69,17 @@
         while True:
             try:
                 request = await self._read(conn, stream)
-            except h11.RemoteProtocolError:
-                await self._refuse(conn, stream, 400)
+            except h11.RemoteProtocolError as error:
+                unspoken = _OTHER_VERSION.search(str(error))
+                status, text = (505, _unspoken(unspoken[1])) if unspoken else (400, "malformed request")
+                await self._refuse(conn, stream, _Refused(status, text))
+                return
+            except _Refused as refused:
+                await self._refuse(conn, stream, refused)
                 return
             if request is None:
                 return
-            response = await self._answer(request) if request.method else Response(400, {"error": "body too large"})
-            await self._write(conn, stream, response, close=not request.method)
+            await self._write(conn, stream, await self._answer(request))
             if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
                 return
             conn.start_next_cycle()
@@ -86,10 +99,11 @@
         return h11.ConnectionClosed()
 
     async def _read(self, conn: h11.Connection, stream: trio.abc.Stream) -> Request | None:
-        """The next request; None if the peer is gone; method "" if its body is too large."""
+        """The next request; None if the peer is gone."""
         head = await self._event(conn, stream, c.IDLE_CONNECTION_S)
         if not isinstance(head, h11.Request):
             return None
+        _check_head(head)
         deadline = trio.current_time() + c.REQUEST_READ_S
         body = bytearray()
         while True:
@@ -97,17 +111,27 @@
             if isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > c.MAX_BODY_BYTES:
-                    return Request("", "", b"")
+                    raise _too_large()
             elif isinstance(event, h11.EndOfMessage):
                 return Request(head.method.decode("ascii"), head.target.decode("ascii", "replace"), bytes(body))
             else:
                 return None
 
-    async def _refuse(self, conn: h11.Connection, stream: trio.abc.Stream, status: int) -> None:
-        if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            await self._write(conn, stream, Response(status, {"error": "malformed request"}), close=True)
-
-    async def _write(self, conn: h11.Connection, stream: trio.abc.Stream, response: Response, close: bool) -> None:
+    async def _refuse(self, conn: h11.Connection, stream: trio.abc.Stream, refused: _Refused) -> None:
+        """Answer, and read on for a moment: closing on what the peer still sends would take the answer from it."""
+        if conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        await self._write(conn, stream, Response(refused.status, {"error": str(refused)}), close=True)
+        left = c.LINGER_BYTES
+        with trio.move_on_after(c.LINGER_S):
+            if isinstance(stream, trio.SocketStream):
+                await stream.send_eof()
+            while left > 0 and (data := await stream.receive_some(c.READ_CHUNK_BYTES)):
+                left -= len(data)
+
+    async def _write(
+        self, conn: h11.Connection, stream: trio.abc.Stream, response: Response, close: bool = False
+    ) -> None:
         payload = b"" if response.body is None else orjson.dumps(response.body)
         headers = [("Content-Type", "application/json"), ("Content-Length", str(len(payload)))]
         headers += list(response.headers.items())
@@ -119,3 +143,24 @@
         data += conn.send(h11.EndOfMessage()) or b""
         with trio.move_on_after(c.REQUEST_READ_S):
             await stream.send_all(data)
+
+
+_OTHER_VERSION = re.compile(r"HTTP/((?!1\.)\d[\d.]*)")
+
+
+def _unspoken(version: str) -> str:
+    return f"HTTP/{version} is not spoken here, HTTP/1.1 is"
+
+
+def _too_large() -> _Refused:
+    return _Refused(400, f"the body is larger than {c.MAX_BODY_BYTES} bytes")
+
+
+def _check_head(head: h11.Request) -> None:
+    """Refuse at once what no body could mend."""
+    version = head.http_version.decode("ascii")
+    if not version.startswith("1."):
+        raise _Refused(505, _unspoken(version))
+    declared = next((value for name, value in head.headers if name == b"content-length"), b"0")
+    if int(declared) > c.MAX_BODY_BYTES:
+        raise _too_large()
--- a/run.py
+++ b/run.py
@@ -7,7 +7,7 @@
 HERE = Path(__file__).resolve().parent
 sys.path[:0] = [str(HERE / "target" / "deps")]
 
-from pepperlatch.command.cli import serve  # noqa: E402
+from pepperlatch.command.serve import serve  # noqa: E402
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser(description="run a pepperlatch controller node")
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -27,7 +27,7 @@
 Answer = tuple[int, Any]
 
 
-def settings_of(index: int, count: int = 3, after: str = "") -> Any:
+def settings_of(index: int, count: int = 3, after: str = "", write_rps: float = 100.0) -> Any:
     """`after`: limits that the state service will have from some moment on, as lines of the file."""
     peers = "".join(
         f'[[members]]\nnode_name="{n}"\nzone="{ZONES[i % 3]}"\nendpoint="10.0.0.{i}:2"\n'
@@ -63,7 +63,7 @@
 cancel_s = {CANCEL_S}
 [params.state]
 rps = 300.0
-write_rps = 100.0
+write_rps = {write_rps}
 value_kb = 16.0
 txn_ops = 16
 {"[params.state.next]" if after else ""}
@@ -482,9 +482,14 @@
 
 
 class World:
-    def __init__(self, nursery: trio.Nursery, count: int = 3, after: str = "", parts: Any = ()) -> None:
+    def __init__(
+        self, nursery: trio.Nursery, count: int = 3, after: str = "", parts: Any = (),
+        wall: Callable[[float], float] = lambda now: 1e9 + now, write_rps: float = 100.0,
+    ) -> None:  # fmt: skip
         self.nursery = nursery
         self.parts = parts
+        self.wall = wall  # time of day, of the steady clock
+        self.write_rps = write_rps
         self.after = after
         self.count = count
         self.state = FakeState()
@@ -496,7 +501,6 @@
         self.scopes: dict[int, trio.CancelScope] = {}
         self.cuts: dict[tuple[str, str], str] = {}
         self.held: list[tuple[tuple[str, str], Callable[[], Awaitable[Any]]]] = []
-        self.wall_off = 0.0
         self.lose_answer: Callable[[str, str, Any], bool] = lambda source, path, body: False
 
     # --- network ----------------------------------------------------------------------------------
@@ -551,10 +555,10 @@
     def start(self, index: int, link: Callable[[Any], Any] = lambda link: link) -> None:
         """`link` may put something between the node and its network."""
         node = Node(
-            settings_of(index, self.count, self.after),
+            settings_of(index, self.count, self.after, self.write_rps),
             link(_Link(self, NODES[index])),
             trio.current_time,
-            lambda: 1e9 + trio.current_time() + self.wall_off,
+            lambda: self.wall(trio.current_time()),
             index,
             self.parts,
         )
@@ -639,12 +643,19 @@
         return response.status, response.body
 
 
-def story(tell: Callable[[World], Awaitable[None]], count: int = 3, after: str = "", parts: Any = ()) -> None:
-    """Run a story in a world with so many nodes; at its end no rule may have been broken."""
+def reseed() -> None:
+    """Tasks that are ready together run in an order that is the same from here on in every run."""
+    runner: Any = trio._core._run
+    runner._ALLOW_DETERMINISTIC_SCHEDULING = True
+    runner._r.seed(1)
+
+
+def story(tell: Callable[[World], Awaitable[None]], count: int = 3, after: str = "", **more: Any) -> None:
+    """Run a story in a world with so many nodes; at its end no rule may have been broken. `more`: of the world."""
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
-            world = World(nursery, count, after, parts)
+            world = World(nursery, count, after, **more)
             nursery.start_soon(world.state.run)
             nursery.start_soon(world.observer.run)
             for index in range(count):
@@ -656,8 +667,6 @@
             assert world.observer.broken == []
             nursery.cancel_scope.cancel()
 
-    runner: Any = trio._core._run
-    runner._ALLOW_DETERMINISTIC_SCHEDULING = True  # else tasks that are ready together run in any order
-    runner._r.seed(1)
+    reseed()
     clock = trio.testing.MockClock(autojump_threshold=0)
     trio.run(main, clock=clock)
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -9,7 +9,7 @@
 import trio
 import trio.testing
 
-from pepperlatch.command import cli, client
+from pepperlatch.command import cli, talk
 from pepperlatch.controller import store
 from pepperlatch.controller.leadership import hold_seconds
 from pepperlatch.policy import draining, fleet, quota
@@ -77,6 +77,10 @@
     assert exchange(b"nonsense\r\n\r\n").startswith(b"HTTP/1.1 400")
     big = b"POST /work HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000
     assert exchange(big).startswith(b"HTTP/1.1 400")
+    declared = b"POST /work HTTP/1.1\r\nHost: x\r\nContent-Length: 9000000\r\n\r\n" + b"x" * 300_000
+    assert b"larger than 65536 bytes" in exchange(declared)  # at once, and what is sent meanwhile is read
+    for other in (b"GET / HTTP/2.0\r\nHost: x\r\n\r\n", b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", b"GET / HTTP/3\r\n\r\n"):
+        assert exchange(other).startswith(b"HTTP/1.1 505") and b"HTTP/1.1 is" in exchange(other)
     assert exchange(b"POST /work HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc") == b""
     assert exchange(b"GET /crash HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").startswith(b"HTTP/1.1 500")
     two = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi" * 2
@@ -141,13 +145,11 @@
 
 
 def test_the_command_line_explains_itself(capsys: pytest.CaptureFixture[str]) -> None:
-    with pytest.raises(SystemExit) as ended:
-        cli.main(["--help"])
-    assert ended.value.code == 0 and "submit" in capsys.readouterr().out
+    assert cli.main(["--help"]) == 0 and "submit" in capsys.readouterr().out
     assert cli.main(["submit", "--node", "127.0.0.1:1", "/no/such/file"]) == 2
-    assert client._changes(["version=3", "idle_s=20"]) == {"version": 3, "settings": {"idle_s": 20.0}}
+    assert talk.changes(["version=3", "idle_s=20"]) == {"version": 3, "settings": {"idle_s": 20.0}}
     with pytest.raises(ValueError, match="version"):
-        client._changes(["idle_s=20"])
+        talk.changes(["idle_s=20"])
 
 
 # --- the design's drain ---------------------------------------------------------------------------
