Schedules: cron and time zone, each due time once; a thin part that imports nothing at start

Change: `pipelines.schedules` (pure, cronsim and zoneinfo) says what is due; `pipelines.scheduler` keeps schedules and deals with a due time in one transaction that moves the schedule past it and records the run. What nobody was there for is run once or skipped, as the file says. `pipelines.part` is thin; `pipelines.service` is imported when somebody asks.

--- a/pepperlatch/command/cli.py
+++ b/pepperlatch/command/cli.py
@@ -210,7 +210,7 @@
     """Check a file; no node is asked. Every mistake is listed with its line."""
     from pepperlatch.command import pipelines
 
-    plan = pipelines.read(file, key)
+    plan = pipelines.read(file, key).plan
     click.echo(f"{file}: {plan.address}, {len(plan.steps)} jobs, nothing wrong")
     return 0
 
@@ -223,7 +223,7 @@
     """What would be sent, in order, with the time to spare of each step; no node is asked."""
     from pepperlatch.command import pipelines
 
-    return pipelines.show_plan(pipelines.read(file, key), form)
+    return pipelines.show_plan(pipelines.read(file, key).plan, form)
 
 
 @pipeline.command()
@@ -239,7 +239,7 @@
     """
     from pepperlatch.command import pipelines
 
-    return pipelines.run(talk, pipelines.read(file, key, talk.preferences.team), wait)
+    return pipelines.run(talk, pipelines.read(file, key, talk.preferences.team).plan, wait)
 
 
 @pipeline.command(name="status")
@@ -279,5 +279,63 @@
     return pipelines.rerun(talk, name, first, wait)
 
 
+@pipeline.group()
+def schedule() -> None:
+    """Pipelines that run by themselves."""
+
+
+@schedule.command()
+@remote()
+@PIPELINE_FILE
+def add(talk: Any, file: str) -> int:
+    """Keep a file's schedule; an earlier one of that name is replaced from now on.
+
+    \b
+    Example: pepperlatch pipeline schedule add daily-air-chain.yaml
+    """
+    from pepperlatch.command import pipelines
+
+    return pipelines.schedule(talk, pipelines.read(file, None, talk.preferences.team))
+
+
+@schedule.command(name="list")
+@remote()
+def list_(talk: Any) -> int:
+    """All schedules, and when they are due next (UTC)."""
+    from pepperlatch.command import pipelines
+
+    return pipelines.schedules(talk, "GET", "")
+
+
+@schedule.command()
+@remote()
+@click.argument("name")
+def pause(talk: Any, name: str) -> int:
+    """Run nothing until it is resumed; runs that have begun go on."""
+    from pepperlatch.command import pipelines
+
+    return pipelines.schedules(talk, "POST", f"/{name}/pause")
+
+
+@schedule.command()
+@remote()
+@click.argument("name")
+def resume(talk: Any, name: str) -> int:
+    """Go on from now; what was due while it was paused is not run."""
+    from pepperlatch.command import pipelines
+
+    return pipelines.schedules(talk, "POST", f"/{name}/resume")
+
+
+@schedule.command()
+@remote()
+@click.argument("name")
+def remove(talk: Any, name: str) -> int:
+    """Forget a schedule; its runs stay."""
+    from pepperlatch.command import pipelines
+
+    return pipelines.schedules(talk, "DELETE", f"/{name}")
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/pepperlatch/command/pipelines.py
+++ b/pepperlatch/command/pipelines.py
@@ -4,7 +4,7 @@
 import sys
 from collections.abc import Sequence
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import click
 import trio
@@ -16,12 +16,15 @@
 from pepperlatch.pipelines import plan as plans
 from pepperlatch.protocol import wire
 
-ROOT = "/pipelines"
+if TYPE_CHECKING:
+    from pepperlatch.pipelines.compile import Compiled
+
+ROOT, SCHEDULES = "/pipelines", "/schedules"
 OVER = {DONE, wire.JobState.CANCELLED.value, "refused", "cancelled"}
 
 
-def read(file: str, key: str | None, team: str | None = None) -> plans.Plan:
-    """The plan of a file; every mistake is printed with its place, and the command ends with code 2."""
+def read(file: str, key: str | None, team: str | None = None) -> "Compiled":
+    """What a file asks for; every mistake is printed with its place, and the command ends with code 2."""
     from pepperlatch.command import preferences
     from pepperlatch.pipelines.compile import compiled
     from pepperlatch.pipelines.document import Mistakes
@@ -68,10 +71,38 @@
 
 
 def run(talk: Talk, plan: plans.Plan, wait: bool) -> int:
+    return _begun(talk, "PUT", f"{ROOT}/{plan.address}", {"plan": _packed(plan)}, wait)
+
+
+def _packed(plan: plans.Plan) -> str:
     packed = plans.pack(plan)
     if len(packed) > c.PACKED_CHARS:
         raise ValueError(f"the plan is {len(packed)} characters packed; at most {c.PACKED_CHARS} are taken")
-    return _begun(talk, "PUT", f"{ROOT}/{plan.address}", {"plan": packed}, wait)
+    return packed
+
+
+def schedule(talk: Talk, asked: "Compiled") -> int:
+    if asked.schedule is None:
+        raise ValueError("the file has no `schedule`")
+    body = {"plan": _packed(asked.plan), "schedule": asked.schedule}
+    return _scheduled(talk, "PUT", f"{SCHEDULES}/{asked.plan.name}", body)
+
+
+def schedules(talk: Talk, method: str, rest: str) -> int:
+    return _scheduled(talk, method, SCHEDULES + rest)
+
+
+def _scheduled(talk: Talk, method: str, path: str, body: Any = None) -> int:
+    status, answer = talk.ask(method, path, body)
+    if status != 200:
+        _refused(talk, status, answer)
+        return REFUSED
+    if talk.form == "json" or answer.get("removed"):
+        output.json(answer)
+        return OK
+    columns = ("schedule", "cron", "timezone", "missed", "paused", "next")
+    output.table(columns, [[row[column] for column in columns] for row in answer.get("schedules", [answer])])
+    return OK
 
 
 def rerun(talk: Talk, name: str, first: Sequence[str], wait: bool) -> int:
--- a/pepperlatch/constants/pipelines.py
+++ b/pepperlatch/constants/pipelines.py
@@ -27,4 +27,3 @@
 
 # --- schedules ------------------------------------------------------------------------------------
 MISSED_S: Final = 120.0  # s; a due time this far back was missed, by an outage: an election takes a few seconds
-DUE_SCAN: Final = 10_000  # due times looked at to find the latest one missed; a week of every minute
--- a/pepperlatch/pipelines/compile.py
+++ b/pepperlatch/pipelines/compile.py
@@ -26,7 +26,15 @@
 }  # fmt: skip
 
 
-def compiled(data: bytes, key: str | None = None, team: str = "") -> plans.Plan:
+@dataclass(slots=True, frozen=True)
+class Compiled:
+    """What a file asks for; `schedule` as it is sent, None if it has none."""
+
+    plan: plans.Plan
+    schedule: dict[str, Any] | None
+
+
+def compiled(data: bytes, key: str | None = None, team: str = "") -> Compiled:
     """The plan of a file. `key` goes before the file's own, `team` after everything in it. Raises Mistakes."""
     read = document.load(data)
     try:
@@ -36,10 +44,23 @@
     builder = _Builder(read, file, team)
     plan = builder.plan(file.key if key is None else key)
     wrong = plans.structure(plan) if builder.found else plans.problems(plan)
-    found = builder.found + [builder.mistake(problem) for problem in wrong]
+    found = builder.found + [builder.mistake(problem) for problem in wrong] + list(_unscheduled(read, file))
     if found:
         raise Mistakes(found)
-    return plan
+    return Compiled(plan, file.schedule.model_dump() if file.schedule is not None else None)
+
+
+def _unscheduled(read: Document, file: model.Pipeline) -> Iterator[Mistake]:
+    if file.schedule is None:
+        return
+    from pepperlatch.pipelines import schedules
+
+    wrong = schedules.problem(file.schedule.cron, file.schedule.timezone)
+    if wrong is not None:
+        path: Path = ("schedule", wrong[0])
+        yield Mistake(read.place(path), wrong[1], plans.where(path))
+    if file.key:
+        yield Mistake(read.place(("key",), key=True), "a scheduled pipeline takes its key from the due time", "key")
 
 
 # --- what the schema does not allow ---------------------------------------------------------------
@@ -93,6 +114,8 @@
         kind = model.Step
     elif path[:1] == ("defaults",):
         kind = model.Shared
+    elif path[:1] == ("schedule",):
+        kind = model.Schedule
     return [info.alias or name for name, info in kind.model_fields.items()]
 
 
--- a/pepperlatch/pipelines/model.py
+++ b/pepperlatch/pipelines/model.py
@@ -85,6 +85,14 @@
     repeat: bool = Field(False, description="runs anew in every run; its class must be allowed to")
 
 
+class Schedule(_Strict):
+    """Runs the pipeline by itself, the due time as its key."""
+
+    cron: Text = Field(description="minute, hour, day of month, month, day of week")
+    timezone: Text = Field(description="of the tz database, such as Asia/Amman")
+    missed: Literal["run", "skip"] = Field("run", description="what becomes of the latest due time missed in an outage")
+
+
 class Pipeline(_Strict):
     """A pipeline of jobs with one deadline for the whole."""
 
@@ -94,6 +102,7 @@
     )
     team: Text | None = Field(None, description="of all steps that name none")
     deadline: Seconds | None = Field(None, description="after the run's start; of all steps that nothing comes after")
+    schedule: Schedule | None = Field(None, description="taken up by `pepperlatch pipeline schedule add`")
     defaults: Shared = Field(default_factory=lambda: Shared())
     steps: Annotated[list[Step], Field(min_length=1, max_length=c.STEPS)]
 
--- /dev/null
+++ b/pepperlatch/pipelines/part.py
@@ -0,0 +1,72 @@
+"""Pipelines as a part of a controller: thin, so that a start costs next to nothing.
+
+What does the work (`service`) is imported when somebody first asks for it, or when there is something to take up.
+"""
+
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+import trio
+
+from pepperlatch import features
+from pepperlatch.constants import pipelines as c
+from pepperlatch.controller.leadership import Term
+from pepperlatch.controller.parts import Core
+from pepperlatch.controller.users import later
+from pepperlatch.pipelines import keys
+from pepperlatch.protocol.http.server import Request, Response
+from pepperlatch.protocol.state import Away, Unsure
+
+if TYPE_CHECKING:
+    from pepperlatch.pipelines.service import Service
+
+
+class Pipelines:
+    name = "pipelines"
+    prefix = keys.PREFIX
+    paths: Sequence[str] = ("/pipelines", "/schedules")
+
+    def __init__(self, core: Core, wanted: features.Pipelines) -> None:
+        self._core = core
+        self._wanted = wanted
+        self._made: Service | None = None
+        self._nursery: trio.Nursery | None = None
+
+    def _service(self) -> "Service":
+        """Raises Away while the part is between two lives."""
+        if self._nursery is None:
+            raise Away("pipelines are being started")
+        if self._made is None:
+            from pepperlatch.pipelines.service import Service
+
+            self._made = Service(self._core, self._wanted, self._nursery)
+        return self._made
+
+    async def handle(self, request: Request) -> Response:
+        try:
+            return await self._service().handle(request)
+        except (Away, Unsure):
+            return later()
+
+    async def run(self) -> None:
+        """Holds what is brought on in the background; whatever ends it leaves runs that anyone can take up."""
+        try:
+            async with trio.open_nursery() as self._nursery:
+                await trio.sleep_forever()
+        finally:
+            self._nursery = self._made = None
+
+    async def lead(self, term: Term) -> None:
+        """Take up runs that lie still (their node died, or was cut off, before it was through), and run what is due."""
+        lying: set[str] = set()
+        while not term.over:
+            try:
+                _, pairs = await self._core.state.read_all(keys.TODO)
+                found = {pair.key for pair in pairs}
+                if found:
+                    self._service().take_up(found & lying)
+                    await self._service().run_due(pairs)
+                lying = found
+            except (Away, Unsure):
+                pass
+            await trio.sleep(c.LOOK_EVERY_S)
--- a/pepperlatch/pipelines/runs.py
+++ b/pepperlatch/pipelines/runs.py
@@ -18,15 +18,10 @@
 from pepperlatch.constants import core
 from pepperlatch.constants import pipelines as c
 from pepperlatch.controller import store
+from pepperlatch.pipelines.keys import OPEN, PIECE, RUN
 from pepperlatch.protocol import wire
 from pepperlatch.settings import State
 
-PREFIX = "p/"
-RUN = "p/run/"  # name of the run -> RunRecord
-PIECE = "p/piece/"  # of a plan that its run's own value cannot hold
-TODO = "p/todo/"  # what the leader looks at
-OPEN = "p/todo/run/"  # runs with something left to do
-
 
 class Phase(str, Enum):
     OPEN = "open"  # jobs are still to be created
--- a/pepperlatch/pipelines/service.py
+++ b/pepperlatch/pipelines/service.py
@@ -1,12 +1,12 @@
 """The controllers' side of pipelines: takes plans, submits their jobs, tells how they stand, withdraws them.
 
-A part of a controller (`controller.parts`). Any node takes a plan and brings it on; what a dead node left behind the
+Any node takes a plan and brings it on; what a dead node left behind the
 leader takes up. Several may bring on the same run: every transaction is conditional, so each job is created once.
 """
 
 import logging
 from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs, unquote
@@ -19,19 +19,19 @@
 from pepperlatch.constants import core
 from pepperlatch.constants import pipelines as c
 from pepperlatch.controller import store
-from pepperlatch.controller.leadership import Term
 from pepperlatch.controller.parts import Core
 from pepperlatch.controller.users import Impossible, Malformed, later
+from pepperlatch.pipelines import keys, runs
 from pepperlatch.pipelines import plan as plans
-from pepperlatch.pipelines import runs
 from pepperlatch.pipelines.plan import BadPlan, Plan
 from pepperlatch.pipelines.runs import Change, Phase, RunRecord
+from pepperlatch.pipelines.scheduler import Scheduler
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.http.server import Request, Response
 from pepperlatch.protocol.state import Away, Outcome, Refused, Unsure
 
 log = logging.getLogger(__name__)
-ROOT = "/pipelines"
+ROOT, SCHEDULES = "/pipelines/", "/schedules"
 
 
 @dataclass(slots=True)
@@ -53,93 +53,82 @@
     first: list[str]
 
 
-class Pipelines:
-    name = "pipelines"
-    prefix = runs.PREFIX
-    paths: Sequence[str] = (ROOT,)
+class Service:
+    """Lives as long as `nursery`, in which runs are brought on."""
 
-    def __init__(self, core: Core, wanted: features.Pipelines) -> None:
+    def __init__(self, core: Core, wanted: features.Pipelines, nursery: trio.Nursery) -> None:
         self._core = core
         self._state = core.state
         self._limits = core.settings.params.state
         self._repeats = wanted.repeats
+        self._nursery = nursery
         self._driven: dict[str, trio.Event] = {}
         self._turn = trio.Lock()  # its queue is first come, first served: runs get their batches in turn
         self._reads = trio.CapacityLimiter(c.READS_AT_ONCE)
+        self._schedules = Scheduler(self, core)
         self._plans: OrderedDict[tuple[str, str], tuple[Plan, dict[str, wire.JobSpec]]] = OrderedDict()
-        self._nursery: trio.Nursery | None = None
 
-    # --- life -------------------------------------------------------------------------------------
+    def take_up(self, marks: Collection[str]) -> None:
+        """Bring on what nobody did; `marks` are keys below `keys.TODO`."""
+        for key in sorted(marks):
+            if key.startswith(keys.OPEN):
+                self.drive(key[len(keys.OPEN) :])
 
-    async def run(self) -> None:
-        try:
-            async with trio.open_nursery() as self._nursery:
-                await trio.sleep_forever()
-        finally:
-            self._nursery = None
-            self._driven.clear()
-
-    async def lead(self, term: Term) -> None:
-        """Take up runs that lie still: their node died, or was cut off, before it was through."""
-        lying: set[str] = set()
-        while not term.over:
-            try:
-                _, pairs = await self._state.read_all(runs.OPEN)
-            except (Away, Unsure):
-                await trio.sleep(c.LOOK_EVERY_S)
-                continue
-            found = {pair.key[len(runs.OPEN) :] for pair in pairs}
-            for address in sorted(found & lying):
-                self._drive(address)
-            lying = found
-            await trio.sleep(c.LOOK_EVERY_S)
+    async def run_due(self, marks: Sequence[wire.KeyValue]) -> None:
+        """Begin what schedules say is due; `marks` are the pairs below `keys.TODO`."""
+        await self._schedules.run_due(marks)
 
     # --- requests ---------------------------------------------------------------------------------
 
     async def handle(self, request: Request) -> Response:
         path, _, query = request.path.partition("?")
-        address, _, verb = unquote(path[len(ROOT) + 1 :]).partition("/")
-        try:
-            if not address and request.method == "GET":
-                return Response(200, {"repeats": self._repeats, "steps": c.STEPS, "packed": c.PACKED_CHARS})
-            if address and (request.method, verb) == ("PUT", ""):
-                return await self._put(address, request.body)
-            if address and (request.method, verb) == ("GET", ""):
-                return await self._show(address, parse_qs(query).get("after", [""])[0])
-            if address and (request.method, verb) == ("POST", "cancel"):
-                return await self._cancel(address)
-            if address and (request.method, verb) == ("POST", "rerun"):
-                return await self._rerun(address, request.body)
-        except (Away, Unsure):
-            return later()
+        if path.startswith(SCHEDULES):
+            return await self._schedules.handle(request.method, unquote(path[len(SCHEDULES) + 1 :]), request.body)
+        address, _, verb = unquote(path[len(ROOT) :]).partition("/")
+        if not address and request.method == "GET":
+            return Response(200, {"repeats": self._repeats, "steps": c.STEPS, "packed": c.PACKED_CHARS})
+        if address and (request.method, verb) == ("PUT", ""):
+            return await self._put(address, request.body)
+        if address and (request.method, verb) == ("GET", ""):
+            return await self._show(address, parse_qs(query).get("after", [""])[0])
+        if address and (request.method, verb) == ("POST", "cancel"):
+            return await self._cancel(address)
+        if address and (request.method, verb) == ("POST", "rerun"):
+            return await self._rerun(address, request.body)
         return Response(404, {"error": "no such path"})
 
     async def _put(self, address: str, body: bytes) -> Response:
         try:
-            packed = wire.convert(orjson.loads(body), _Body).plan
-            plan = plans.unpack(packed)
+            plan = plans.unpack(wire.convert(orjson.loads(body), _Body).plan)
         except (orjson.JSONDecodeError, msgspec.ValidationError, BadPlan) as error:
             return Response(400, {"error": str(error)})
+        refused = self.malformed(plan, address)
+        return refused or await self._begin(plan)
+
+    def malformed(self, plan: Plan, address: str) -> Response | None:
         wrong = plans.problems(plan, self._repeats)
-        if wrong or plan.address != address:
-            listed = [{"place": plans.where(p.path), "error": p.text} for p in wrong[: c.ERRORS_SHOWN]]
-            return Response(400, {"error": "the plan cannot be run", "problems": listed})
-        return await self._begin(plan)
+        if not wrong and plan.address == address:
+            return None
+        listed = [{"place": plans.where(p.path), "error": p.text} for p in wrong[: c.ERRORS_SHOWN]]
+        if not wrong:
+            listed = [{"place": "name", "error": f"the plan is that of {plan.address!r}, not of {address!r}"}]
+        return Response(400, {"error": "the plan cannot be run", "problems": listed})
 
     async def _begin(self, plan: Plan) -> Response:
         """Refused whole, or recorded; one known already is brought on, if it is the same."""
         held = await self._read(plan.address)
         if held is None:
             packed = plans.pack(plan)
-            if len(packed) > c.PACKED_CHARS or runs.changes_of(packed, self._limits.value_kb) > self._limits.txn_ops:
-                return Response(400, {"error": "the plan is larger than what is recorded at once"})
-            refused = await self._refusal(plan)
+            refused = self.too_large(packed)
             if refused is not None:
                 return refused
-            await self._room(1)
+            refused = await self.refusal(plan)
+            if refused is not None:
+                return refused
+            await self.room(1)
             at = self._core.wall()
             change = runs.record(plan.address, plans.digest(plan), packed, at, self._limits.value_kb)
-            await self._commit(change)
+            await self.commit(change)
             held = await self._read(plan.address)
             if held is None:
                 return later()
@@ -149,7 +138,14 @@
             return Response(409, {"error": "this run was sent before with other content", "differs": differs})
         return await self._settled(held)
 
-    async def _refusal(self, plan: Plan) -> Response | None:
+    def too_large(self, packed: str) -> Response | None:
+        """With room for the record of a schedule that is moved in the same transaction."""
+        changes = runs.changes_of(packed, self._limits.value_kb) + 1
+        if len(packed) <= c.PACKED_CHARS and changes <= self._limits.txn_ops:
+            return None
+        return Response(400, {"error": "the plan is larger than what is recorded at once"})
+
+    async def refusal(self, plan: Plan) -> Response | None:
         """What any of its jobs would be refused for, before any of them is sent."""
         found: list[dict[str, Any]] = []
         named = plans.specs(plan)
@@ -183,7 +179,7 @@
     async def _settled(self, held: Held) -> Response:
         """The answer once all its jobs are there or all are withdrawn; 202 if that takes longer."""
         if held.run.phase in runs.PENDING:
-            ended = self._drive(held.address)
+            ended = self.drive(held.address)
             with trio.move_on_after(core.SUBMIT_WAIT_S):
                 await ended.wait()
             held = await self._read(held.address) or held
@@ -234,7 +230,7 @@
         if held is None:
             return Response(404, {"error": "no such run"})
         if held.run.phase in (Phase.OPEN, Phase.SENT):
-            outcome = await self._commit(runs.moved(address, held.run, held.version, Phase.CANCELLING))
+            outcome = await self.commit(runs.moved(address, held.run, held.version, Phase.CANCELLING))
             if not outcome.applied:
                 return later()
             held = await self._read(address) or held
@@ -288,7 +284,7 @@
         if self._reads.statistics().tasks_waiting >= c.READS_WAITING:
             raise Away("too many look at runs")
         async with self._reads:
-            pair = await self._state.read(runs.RUN + address) if plans.ADDRESS.fullmatch(address) else None
+            pair = await self._state.read(keys.RUN + address) if plans.ADDRESS.fullmatch(address) else None
             if pair is None:
                 return None
             run: RunRecord = wire.convert(pair.value, RunRecord)
@@ -300,7 +296,7 @@
         if known is None:
             texts = [run.plan]
             for number in range(run.pieces):
-                piece = await self._state.read(f"{runs.PIECE}{address}/{number}")
+                piece = await self._state.read(f"{keys.PIECE}{address}/{number}")
                 texts.append(piece.value["text"] if piece is not None else "")
             plan = plans.unpack("".join(texts))
             known = self._plans[(address, run.digest)] = (plan, plans.specs(plan))
@@ -310,15 +306,11 @@
 
     # --- bringing a run on ------------------------------------------------------------------------
 
-    def _drive(self, address: str) -> trio.Event:
+    def drive(self, address: str) -> trio.Event:
         """Bring it on in the background, once at a time at this node; the event tells that it has ended."""
         ended = self._driven.get(address)
         if ended is None:
-            ended = trio.Event()
-            if self._nursery is None:
-                ended.set()
-                return ended
-            self._driven[address] = ended
+            ended = self._driven[address] = trio.Event()
             self._nursery.start_soon(self._bring_on, address, ended)
         return ended
 
@@ -354,15 +346,15 @@
             wrong = next(((spec, why) for spec in missing[: len(change.ids)] if (why := self._wrong(spec))), None)
             if wrong is not None:
                 reason = f"{wrong[0].id}: {wrong[1][1]}"
-                await self._commit(runs.moved(held.address, held.run, held.version, Phase.REFUSING, reason))
+                await self.commit(runs.moved(held.address, held.run, held.version, Phase.REFUSING, reason))
                 return
             async with self._turn:
-                await self._room(len(change.writes))
-                outcome = await self._commit(change)
-            if runs.RUN + held.address in outcome.failed:
+                await self.room(len(change.writes))
+                outcome = await self.commit(change)
+            if keys.RUN + held.address in outcome.failed:
                 return
             present.update(change.ids if outcome.applied else _jobs_of(outcome))
-        await self._commit(runs.moved(held.address, held.run, held.version, Phase.SENT))
+        await self.commit(runs.moved(held.address, held.run, held.version, Phase.SENT))
 
     async def _withdraw(self, held: Held) -> None:
         """Cancel its jobs in order, those that need another go with it; a refused run takes only its own along."""
@@ -375,15 +367,15 @@
                 continue
             if (await self._core.users.cancel(spec.id)).status != 200:
                 raise Away(f"{spec.id} cannot be cancelled now")
-        await self._commit(runs.moved(held.address, held.run, held.version, runs.ENDING[held.run.phase]))
+        await self.commit(runs.moved(held.address, held.run, held.version, runs.ENDING[held.run.phase]))
 
-    async def _room(self, changes: int) -> None:
+    async def room(self, changes: int) -> None:
         """Wait until the budget has more than those may need who submit single jobs."""
         wanted = min(changes, self._state.later_most())
         while self._state.writes_spare() < wanted:
             await trio.sleep(c.ROOM_POLL_S)
 
-    async def _commit(self, change: Change) -> Outcome:
+    async def commit(self, change: Change) -> Outcome:
         return await self._state.txn(change.when, change.writes)
 
 
--- a/tests/pipelines/test_files.py
+++ b/tests/pipelines/test_files.py
@@ -42,7 +42,7 @@
 
 
 def test_a_file_becomes_jobs_with_one_deadline_and_time_to_spare() -> None:
-    plan = compiled(GOOD.encode())
+    plan = compiled(GOOD.encode()).plan
     assert [step.name for step in plan.steps] == ["collect", "render-ann", "render-james", "send"]
     named = plans.specs(plan)
     assert [spec.deadline_s for spec in named.values()] == [None, None, None, 600.0]
@@ -82,6 +82,9 @@
         (lambda t: t.replace("team: red", "team: [red"), "f:3:9: "),
         (lambda t: "", "f:1:1: the file is empty"),
         (lambda t: t.replace("team: red", "<<: {}"), "f:2:1: merging is not supported"),
+        (lambda t: t.replace("team: red", "schedule: {cron: '0 25 * * *', timezone: UTC}"), "f:2:18: schedule.cron: "),
+        (lambda t: t.replace("team: red", "schedule: {cron: '0 6 * * *', timezone: Asia/Aman}"),
+         "f:2:41: schedule.timezone: 'Asia/Aman' is no zone of the tz database, such as 'Asia/Amman' or 'UTC'"),
         (lambda t: t.replace("red", "é").encode("latin-1"), "f:2:7: not UTF-8 text"),
         (lambda t: "a: " + "[" * 300, "f:1:27: nested more than 24 deep"),
         (lambda t: t + "#" * c.FILE_BYTES, f"f:1:1: the file has {len(GOOD) + c.FILE_BYTES} bytes"),
@@ -104,7 +107,7 @@
 
 @pytest.mark.parametrize("file", sorted((ROOT / "examples").glob("*.yaml")), ids=lambda file: file.stem)
 def test_the_examples_are_planned_without_a_late_step(file: Path) -> None:
-    plan = compiled(file.read_bytes())
+    plan = compiled(file.read_bytes()).plan
     assert len(plan.steps) >= 4 and all(0 < time.slack_s < 3600 for time in plans.timing(plan).values())
 
 
@@ -145,7 +148,7 @@
 
 def planned_or_refused(data: bytes) -> plans.Plan | None:
     try:
-        plan = compiled(data)
+        plan = compiled(data).plan
     except Mistakes as error:
         assert error.found and all(m.place.line >= 1 and m.place.column >= 1 and m.text for m in error.found)
         return None
