--- a/pepperlatch/controller/admin.py
+++ b/pepperlatch/controller/admin.py
@@ -17,9 +17,11 @@
 SETTINGS, VIEW = "/admin/settings", "/admin/view"
 
 
-def _away() -> Response:
+def _away(request: Request) -> Response:
     """A change that was sent may still be carried out; the version tells."""
-    error = "the state service does not answer; whether a change was made `settings` tells"
+    error = "the state service does not answer"
+    if request.method != "GET":
+        error += "; whether the change was made, `settings` will tell"
     return Response(503, {"error": error}, {"Retry-After": str(c.RETRY_AFTER_S)})
 
 
@@ -33,7 +35,7 @@
         """Answers at a deadline: an operator who looks into an outage must not wait for its end."""
         with trio.move_on_after(c.SUBMIT_WAIT_S):
             return await self._answer(request)
-        return _away()
+        return _away(request)
 
     async def _answer(self, request: Request) -> Response:
         try:
@@ -45,7 +47,7 @@
             if request.path == SETTINGS and request.method == "PUT":
                 return await self._change(request.body)
         except (Away, Unsure):
-            return _away()
+            return _away(request)
         return Response(404, {"error": "no such path"})
 
     def _describe(self) -> dict[str, Any]:
--- a/pepperlatch/controller/store.py
+++ b/pepperlatch/controller/store.py
@@ -11,6 +11,7 @@
 import base64
 import math
 import re
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -43,7 +44,7 @@
     return isinstance(text, str) and _JOB_ID.fullmatch(text) is not None
 
 
-class JobRecord(msgspec.Struct, omit_defaults=True):
+class JobRecord(msgspec.Struct, omit_defaults=True, gc=False):
     """What lasts of a job; the description is dropped once the job is over."""
 
     state: str
@@ -70,8 +71,7 @@
     count: int
 
 
-@dataclass(slots=True)
-class Entry:
+class Entry(msgspec.Struct, gc=False):
     """A watched job: its record, the version of its key, and the cancelled job (itself, too) that ends it, if any."""
 
     record: JobRecord
@@ -98,14 +98,15 @@
     leader: tuple[str, int] | None = None
     type_pieces: dict[int, list[wire.MachineType]] = field(default_factory=dict)
     tuning: tuple[dict[str, Any], int] = field(default_factory=lambda: ({}, 0))
-    _versions: dict[str, int] = field(default_factory=dict)
+    _versions: dict[str, int] = field(default_factory=dict)  # of all keys but jobs': their entries hold theirs
+    _finished: dict[tuple[str, int], JobRecord] = field(default_factory=dict)
 
     def reload(self, revision: int, pairs: list[wire.KeyValue]) -> set[str]:
         """Take a fresh reading (after 410 or at the start); the job ids it touched.
 
         Its pages may be newer than its revision; the changes replayed on top are told apart by version.
         """
-        present = {pair.key for pair in pairs}
+        present = {pair.key for pair in pairs if not pair.key.startswith(JOB)}  # jobs are never deleted
         touched: set[str] = set()
         if self.leader is not None and LEADER not in present:
             self.leader = None
@@ -129,13 +130,11 @@
         return touched
 
     def _put(self, key: str, value: Any, version: int) -> set[str]:
+        if key.startswith(JOB):
+            return self._put_job(key[len(JOB) :], value, version)
         if self._versions.get(key, 0) >= version:
             return set()
         self._versions[key] = version
-        if key.startswith(JOB):
-            job_id = key[len(JOB) :]
-            self.jobs[job_id] = Entry(wire.convert(value, JobRecord), version, self.chain.through.get(job_id))
-            return self._job_changed(job_id)
         if key.startswith(PART):
             job_id, number = _numbered(key, PART)
             self.parts.setdefault(job_id, {})[number] = value["text"]
@@ -155,6 +154,20 @@
             self.tuning = (value, version)
         return set()
 
+    def _put_job(self, job_id: str, value: Any, version: int) -> set[str]:
+        known = self.jobs.get(job_id)
+        if known is not None and known.version >= version:
+            return set()
+        record = value if isinstance(value, JobRecord) else wire.convert(value, JobRecord)
+        self.jobs[job_id] = Entry(record, version, self.chain.through.get(job_id))
+        touched = self._job_changed(job_id)
+        if record.state == wire.JobState.DONE.value and record.spec is None:
+            # There are more of these than of anything else, and what they say is mostly the same; when each was done
+            # the chain holds.
+            shared = JobRecord(wire.JobState.DONE.value, tasks=record.tasks)
+            self.jobs[job_id].record = self._finished.setdefault((shared.state, shared.tasks), shared)
+        return touched
+
     def _job_changed(self, job_id: str) -> set[str]:
         """Draw the consequences for all that needs the job; the jobs touched."""
         entry = self.jobs[job_id]
@@ -224,6 +237,14 @@
     return Standing(wire.RANK[spec.priority], at + spec.deadline_s if spec.deadline_s else math.inf)
 
 
+def slim(pair: wire.KeyValue) -> wire.KeyValue:
+    """A pair that is kept until all pages are read: a job's as its record, which is a fraction of its JSON."""
+    if pair.key.startswith(JOB):
+        pair.value = wire.convert(pair.value, JobRecord)
+        pair.value.state = sys.intern(pair.value.state)
+    return pair
+
+
 # --- values that have to fit ----------------------------------------------------------------------
 
 
@@ -361,7 +382,7 @@
         return True
 
     async def _reload(self) -> None:
-        revision, pairs = await self._state.read_all(WATCHED)
+        revision, pairs = await self._state.read_all(WATCHED, slim)
         self._on_change(self.replica.reload(revision, pairs))
 
     async def sync(self) -> None:
--- a/pepperlatch/protocol/state.py
+++ b/pepperlatch/protocol/state.py
@@ -119,15 +119,17 @@
         status, answer = await self._call("GET", f"{wire.KEYS}/{key}")
         return None if status == 404 else _checked(answer, wire.KeyValue)
 
-    async def read_all(self, prefix: str) -> tuple[int, list[wire.KeyValue]]:
-        """All pairs below a prefix, with the revision of the first page."""
+    async def read_all(
+        self, prefix: str, keep: Callable[[wire.KeyValue], wire.KeyValue] = lambda pair: pair
+    ) -> tuple[int, list[wire.KeyValue]]:
+        """All pairs below a prefix, with the revision of the first page; each as `keep` makes it."""
         pairs: list[wire.KeyValue] = []
         revision, after = -1, ""
         while True:
             _, answer = await self._call("GET", wire.keys_path(prefix, after, c.LIST_PAGE))
             page = _checked(answer, wire.KeyPage)
             revision = page.revision if revision < 0 else revision
-            pairs += page.items
+            pairs += map(keep, page.items)
             if not page.more or not page.items:
                 return revision, pairs
             after = page.items[-1].key
