What waits though nothing changes is looked at with a rest twenty times a round's length

Change: the housekeeping asks for a round only after 20 times the length of the last one; whatever does change (arrivals, reports, ends, machines) asks for its round at once as before. Rounds under 25 ms are looked at as often as before.

The story fails without the rest.

--- a/pepperlatch/constants/core.py
+++ b/pepperlatch/constants/core.py
@@ -121,6 +121,7 @@
 QUEUE_MOST: Final = 2000  # commands; several reports of every machine; more reports are refused at once
 PLAN_GAP_S: Final = 0.1  # s; changes that come together are planned for together
 PLAN_REST: Final = 3.0  # times its own length that a round is followed by other work: reports go before planning
+PLAN_LOOK_REST: Final = 20.0  # times its length that a round rests if nothing changes: 5 % of what a leader has
 ERROR_WINDOW_S: Final = 60.0  # s; errors further apart say nothing about a machine
 ERROR_TASKS: Final = 2  # different tasks failed in a row before a machine is taken to be faulty
 JOB_ERROR_MACHINES: Final = 3  # machines a job must fail on before the job is taken to be at fault
--- a/pepperlatch/controller/health.py
+++ b/pepperlatch/controller/health.py
@@ -85,7 +85,7 @@
             for machine in planner.idle(now):
                 cluster.release(machine, machine.draining or ("quarantined" if machine.quarantined else "idle"))
         planner.drain(now)
-        if planner.needs or any(j.waiting for j in cluster.jobs.values()):
+        if now >= planner.look_after and (planner.needs or any(j.waiting for j in cluster.jobs.values())):
             cluster.dirty = True
 
     def _silent(self, now: float) -> list[Machine]:
--- a/pepperlatch/controller/leader.py
+++ b/pepperlatch/controller/leader.py
@@ -230,7 +230,10 @@
             self._records.record(now)
 
     def _plan(self, now: float, sure: bool) -> None:
-        """A long round is followed by a long rest: reports and leases come before planning."""
+        """A long round is followed by a long rest: reports and leases come before planning.
+
+        By a longer one still if nothing changes: only moments can be reached then, pauses' ends and the like.
+        """
         self.planner.notices(now)
         self.planner.place_all(now)
         self.planner.preempt(now)
@@ -239,6 +242,7 @@
             self._rentals.rent(now)
         took = self._clock() - now
         self._plan_after = now + took + max(c.PLAN_GAP_S, c.PLAN_REST * took)
+        self.planner.look_after = now + took + c.PLAN_LOOK_REST * took
         if took > c.PLAN_LONG_S:
             log.info("a round of planning took %.3f s", took)
 
--- a/pepperlatch/policy/planner.py
+++ b/pepperlatch/policy/planner.py
@@ -32,6 +32,7 @@
     drained_at: float = 0.0
     drains_begun: int = 0
     drains_cancelled: int = 0  # rounds in which an underused machine could not be drained
+    look_after: float = 0.0  # when it is looked again at what waits though nothing has changed
     needs: list[Need] = field(default_factory=list)
     spare: Spare = field(default_factory=Spare)
     inside: set[str] = field(default_factory=set)  # jobs within their team's guarantee
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -372,3 +372,36 @@
 
 def wire_body(number: int) -> bytes:
     return orjson.dumps(job(number))
+
+
+def test_a_crowd_that_nobody_can_serve_is_looked_at_rarely_and_a_newcomer_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Rounds are slow here: without a rest by their length, looks for what time alone may change took a whole share."""
+
+    async def tell(world: World) -> None:
+        world.cloud.capacity.clear()
+        for number in range(20):
+            await world.submit(job(number, pieces=20))
+        await trio.sleep(20.0)
+        leader = world.nodes[world.leader()].leader
+        assert leader is not None
+        rounds: list[float] = []
+        place_all = Planner.place_all
+
+        def slow(planner: Planner, now: float) -> None:
+            place_all(planner, now)
+            trio.lowlevel.current_clock().jump(0.3)  # type: ignore[attr-defined]
+            rounds.append(now)
+
+        monkeypatch.setattr(Planner, "place_all", slow)
+        began = trio.current_time()
+        await trio.sleep(60.0)
+        assert len(rounds) * 0.3 < 0.08 * (trio.current_time() - began)
+        sent = trio.current_time()
+        await world.submit(job(99, urgency="urgent"))
+        await world.until(lambda: "run-000099" in leader.cluster.jobs, 2)
+        await trio.sleep(2.0)
+        assert any(sent < now < sent + 1.5 for now in rounds)
+
+    story(tell)
