No worker is sent to a leader that does not answer; somebody stands in before its lease ends

Each worker lost 5 s on the leader, was told 421 by the next controller, lost 5 s on the leader again, and only then was its report passed on (2.5 s more) and answered in the leader's place: 12.5 s and more of a lease of 14 s.

Change: a controller that has had no answer from the leader for 3 s passes reports on at once, and stands in if that fails and the conditions for it hold. Those are as they were: nothing about who may answer changes, only how soon. Ruled out: standing in before the report is passed on; a cut between controllers alone would take workers from a leader that can hear them.

--- a/pepperlatch/constants/core.py
+++ b/pepperlatch/constants/core.py
@@ -144,6 +144,7 @@
 STAND_IN_BAR_S: Final = 3.0  # s; a node asked by the leader does not stand in for it for so long
 STAND_IN_SLACK_S: Final = 0.3  # s; the leader counts on that a little shorter, for timers that fire late
 PREEMPT_PAUSE_S: Final = 4.0  # s; a job that had others stopped and still found no place must not go on stopping
+LEADER_SILENT_S: Final = 3.0  # s; three questions without an answer; no worker is sent to such a leader
 HEALTH_EVERY_S: Final = 0.7  # s; the balancer asks about once a second
 STATE_AWAY_S: Final = 2.5  # s; watches answer every 2 s, so the state service is away after this
 STATE_FRESH_S: Final = 0.5  # s; an answer as old says that the service is there now; also the patience for a new one
--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -170,7 +170,7 @@
         held = self.replica.leader
         if held is None or held[0] == self.settings.node:
             return Response(503, {"error": "nobody leads"})
-        if self._sent_away(report.machine):
+        if self._leader_answers() and self._sent_away(report.machine):
             return Response(421, wire.misdirected(held[0]))
         return await self._relay(held[0], report, body)
 
@@ -185,6 +185,10 @@
                     return Response(200, answer)
         return Response(503, {"error": "not entitled to answer"})
 
+    def _leader_answers(self) -> bool:
+        """Whether a worker may be sent to it: a try at a silent leader costs the worker five seconds of its lease."""
+        return self._clock() - self._contact.at < c.LEADER_SILENT_S
+
     def _sent_away(self, machine: str) -> bool:
         """Whether the worker is to be sent to the leader; one that is soon back could not reach it."""
         now = self._clock()
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -181,6 +181,28 @@
     story(tell)
 
 
+def test_workers_outlive_an_outage_in_which_the_leader_is_cut_off_from_everybody() -> None:
+    """Seen (hunt-b9d8-1): the others sent every worker back to the leader before one of them stood in for it."""
+
+    async def tell(world: World) -> None:
+        board = job(1, shape="daemon")
+        await world.submit(board)
+        await world.until(lambda: world.running(board) == 2, 40)
+        await trio.sleep(2)
+        leader = world.leader()
+        for name in ("state", "cloud", *(w.name for w in world.workers), *(f"perch-{n}" for n in range(3))):
+            world.cut(f"perch-{leader}", name, "hold")
+        world.state.out = True
+        await trio.sleep(LEASE_S + 6)
+        world.state.out = False
+        await world.heal()
+        await trio.sleep(LEASE_S + 3)
+        assert world.observer.starts["run-000001"] == 2
+        assert world.running(board) == 2
+
+    story(tell)
+
+
 def test_a_leader_reckons_with_those_who_stand_in_for_it() -> None:
     """It cannot reach a machine, nor the others, nor the cloud; one of those is without the state service."""
 
