--- a/pepperlatch/constants/pipelines.py
+++ b/pepperlatch/constants/pipelines.py
@@ -16,6 +16,7 @@
 PLAN_BYTES: Final = 1024 * 1024  # bytes; of a plan unpacked, so that a small body cannot fill the memory
 PACKED_CHARS: Final = 36_000  # characters; of a packed plan: recorded in one transaction, below `TXN_BYTES`
 DIGITS: Final = 40  # hexadecimal digits of the hash in an id: 160 bits, no two alike by chance
+ANSWER_S: Final = 4.0  # s; users wait 5 s for an answer, and are better told to come back than left without one
 ROOM_POLL_S: Final = 0.1  # s; before it is looked again whether the budget has room for a run's next jobs
 CHECKS_AT_ONCE: Final = 20  # steps checked before others have their turn: some 2 ms at a third of a core
 LOOK_EVERY_S: Final = 5.0  # s; how soon the leader finds a run whose node died; one request each time
--- a/pepperlatch/controller/parts.py
+++ b/pepperlatch/controller/parts.py
@@ -14,6 +14,7 @@
 import trio
 
 from pepperlatch.constants import core as c
+from pepperlatch.controller import store
 from pepperlatch.controller.leadership import Term
 from pepperlatch.controller.store import Watched
 from pepperlatch.controller.users import Users
@@ -55,6 +56,12 @@
 
 class Parts:
     def __init__(self, parts: Sequence[Part]) -> None:
+        """Raises ValueError if a part claims keys that are the core's or another part's."""
+        taken = [store.WATCHED, store.FLEET]
+        for part in parts:
+            if any(part.prefix.startswith(other) or other.startswith(part.prefix) for other in taken):
+                raise ValueError(f"{part.name}: keys below {part.prefix!r} are taken")
+            taken.append(part.prefix)
         self._parts = parts
 
     def names(self) -> list[str]:
--- a/pepperlatch/pipelines/part.py
+++ b/pepperlatch/pipelines/part.py
@@ -43,10 +43,13 @@
         return self._made
 
     async def handle(self, request: Request) -> Response:
-        try:
-            return await self._service().handle(request)
-        except (Away, Unsure):
-            return later()
+        """Answers at a deadline; what was recorded by then goes on, and the same request again tells how it stands."""
+        with trio.move_on_after(c.ANSWER_S):
+            try:
+                return await self._service().handle(request)
+            except (Away, Unsure):
+                pass
+        return later()
 
     async def run(self) -> None:
         """Holds what is brought on in the background; whatever ends it leaves runs that anyone can take up."""
--- a/pepperlatch/pipelines/service.py
+++ b/pepperlatch/pipelines/service.py
@@ -116,7 +116,7 @@
 
     async def _begin(self, plan: Plan) -> Response:
         """Refused whole, or recorded; one known already is brought on, if it is the same."""
-        held = await self._read(plan.address)
+        held, digest = await self._read(plan.address), plans.digest(plan)
         if held is None:
             packed = plans.pack(plan)
             refused = self.too_large(packed)
@@ -127,13 +127,13 @@
                 return refused
             await self.room(1)
             at = self._core.wall()
-            change = runs.record(plan.address, plans.digest(plan), packed, at, self._limits.value_kb)
+            change = runs.record(plan.address, digest, packed, at, self._limits.value_kb)
             await self.commit(change)
             held = await self._read(plan.address)
             if held is None:
                 return later()
             log.info("run %s: %d steps", plan.address, len(plan.steps))
-        if held.run.digest != plans.digest(plan):
+        if held.run.digest != digest:
             differs = plans.differences(held.plan, plan)
             return Response(409, {"error": "this run was sent before with other content", "differs": differs})
         return await self._settled(held)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -8,6 +8,7 @@
 
 from pepperlatch import features
 from pepperlatch.controller.leadership import Term
+from pepperlatch.controller.parts import Parts
 from pepperlatch.protocol.http.server import Request, Response
 from tests.fakes import World, job, story
 
@@ -59,6 +60,15 @@
     story(tell, parts=(part,))
 
 
+def test_no_part_may_claim_the_keys_of_another() -> None:
+    class Greedy(Faulty):
+        prefix = "j/x/"
+
+    for claim in ([Greedy(None)], [Faulty(None), Faulty(None)]):
+        with pytest.raises(ValueError, match="taken"):
+            Parts(claim)
+
+
 def test_features_are_checked_and_a_missing_file_means_off(tmp_path: Path) -> None:
     assert features.load(tmp_path / "none.toml") == features.Features()
     assert features.load(Path("deploy/features.toml")).pipelines.repeats == []
