Texts are cut into pieces and put together again in one place

Need: reading the change once more, the cutting stood three times (descriptions, plans of runs, plans of schedules), the reading of pieces twice, and a table of phases named one that nobody looked up.

Change: `store.cut`, `Service.joined`, `runs.WITHDRAWN`. Behaviour and what is written are as before; lint, types and the stories of runs, schedules, rollouts and parts pass.

--- a/pepperlatch/controller/store.py
+++ b/pepperlatch/controller/store.py
@@ -252,14 +252,18 @@
     return len(orjson.dumps(value)) <= value_kb * 1024 - c.VALUE_SLACK_BYTES
 
 
+def cut(text: str, size: int) -> list[str]:
+    """In pieces of at most `size` characters."""
+    return [text[start : start + size] for start in range(0, len(text), size)]
+
+
 def parts_of(spec: wire.JobSpec, value_kb: float) -> list[str]:
     """The description as text in pieces that each fit one value; none if the job's own record can hold it."""
     plain = orjson.dumps(wire.to_plain(spec))
     if len(plain) <= value_kb * 1024 - c.RECORD_BYTES:
         return []
     text = base64.b64encode(plain).decode("ascii")
-    size = int(value_kb * 1024) - c.VALUE_SLACK_BYTES
-    return [text[start : start + size] for start in range(0, len(text), size)]
+    return cut(text, int(value_kb * 1024) - c.VALUE_SLACK_BYTES)
 
 
 def joined(parts: dict[int, str], count: int) -> wire.JobSpec | None:
--- a/pepperlatch/pipelines/runs.py
+++ b/pepperlatch/pipelines/runs.py
@@ -33,7 +33,7 @@
 
 
 PENDING = (Phase.OPEN, Phase.REFUSING, Phase.CANCELLING)
-ENDING = {Phase.OPEN: Phase.SENT, Phase.REFUSING: Phase.REFUSED, Phase.CANCELLING: Phase.CANCELLED}
+WITHDRAWN = {Phase.REFUSING: Phase.REFUSED, Phase.CANCELLING: Phase.CANCELLED}  # once none of its jobs is left
 
 
 class RunRecord(msgspec.Struct, omit_defaults=True):
@@ -59,7 +59,7 @@
 def record(address: str, digest: str, packed: str, at: float, value_kb: float) -> Change:
     """Write a run down, with all that it takes to go on by anybody."""
     size = int(value_kb * 1024) - core.RECORD_BYTES
-    pieces = [packed[start : start + size] for start in range(0, len(packed), size)] if len(packed) > size else []
+    pieces = store.cut(packed, size) if len(packed) > size else []
     run = RunRecord(Phase.OPEN, digest, at, "" if pieces else packed, len(pieces))
     writes = [put_run(address, run), wire.put(OPEN + address, {})]
     writes += [wire.put(f"{PIECE}{address}/{n}", {"text": text}) for n, text in enumerate(pieces)]
--- a/pepperlatch/pipelines/scheduler.py
+++ b/pepperlatch/pipelines/scheduler.py
@@ -149,12 +149,8 @@
 
     async def _plan(self, name: str, record: ScheduleRecord) -> Plan | None:
         """None if it is being replaced just now."""
-        texts = []
-        for number in range(record.pieces):
-            piece = await self._state.read(f"{keys.SCHEDULED}{name}/{number}")
-            texts.append(piece.value["text"] if piece is not None else "")
         try:
-            plan = plans.unpack("".join(texts))
+            plan = plans.unpack(await self._service.joined(keys.SCHEDULED + name, record.pieces))
         except BadPlan:
             return None
         return plan if plans.digest(plan) == record.digest else None
--- a/pepperlatch/pipelines/schedules.py
+++ b/pepperlatch/pipelines/schedules.py
@@ -15,6 +15,7 @@
 
 from pepperlatch.constants import core
 from pepperlatch.constants import pipelines as c
+from pepperlatch.controller import store
 from pepperlatch.pipelines.keys import CRON, SCHEDULED
 from pepperlatch.pipelines.runs import Change
 from pepperlatch.protocol import wire
@@ -92,8 +93,7 @@
 
 def kept(name: str, version: int, record: ScheduleRecord, packed: str, held: int, value_kb: float) -> Change:
     """Write a schedule down with its plan; `held`: pieces of the one that it replaces."""
-    size = int(value_kb * 1024) - core.VALUE_SLACK_BYTES
-    pieces = [packed[start : start + size] for start in range(0, len(packed), size)]
+    pieces = store.cut(packed, int(value_kb * 1024) - core.VALUE_SLACK_BYTES)
     record = msgspec.structs.replace(record, pieces=len(pieces))
     writes = [wire.put(CRON + name, wire.to_plain(record))]
     writes += [wire.put(f"{SCHEDULED}{name}/{n}", {"text": text}) for n, text in enumerate(pieces)]
--- a/pepperlatch/pipelines/service.py
+++ b/pepperlatch/pipelines/service.py
@@ -294,16 +294,17 @@
     async def _plan(self, address: str, run: RunRecord) -> tuple[Plan, dict[str, wire.JobSpec]]:
         known = self._plans.get((address, run.digest))
         if known is None:
-            texts = [run.plan]
-            for number in range(run.pieces):
-                piece = await self._state.read(f"{keys.PIECE}{address}/{number}")
-                texts.append(piece.value["text"] if piece is not None else "")
-            plan = plans.unpack("".join(texts))
+            plan = plans.unpack(run.plan or await self.joined(keys.PIECE + address, run.pieces))
             known = self._plans[(address, run.digest)] = (plan, plans.specs(plan))
             if len(self._plans) > c.PLANS_KEPT:
                 self._plans.popitem(last=False)
         return known
 
+    async def joined(self, prefix: str, pieces: int) -> str:
+        """What was cut into pieces; shorter if some are gone, and then no plan can be unpacked from it."""
+        found = [await self._state.read(f"{prefix}/{number}") for number in range(pieces)]
+        return "".join(piece.value["text"] for piece in found if piece is not None)
+
     # --- bringing a run on ------------------------------------------------------------------------
 
     def drive(self, address: str) -> trio.Event:
@@ -383,7 +384,7 @@
                 continue
             if (await self._core.users.cancel(spec.id)).status != 200:
                 raise Away(f"{spec.id} cannot be cancelled now")
-        await self.commit(runs.moved(held.address, held.run, held.version, runs.ENDING[held.run.phase]))
+        await self.commit(runs.moved(held.address, held.run, held.version, runs.WITHDRAWN[held.run.phase]))
 
     async def room(self, changes: int) -> None:
         """Wait until the budget has more than those may need who submit single jobs."""
