--- a/pepperlatch/command/cli.py
+++ b/pepperlatch/command/cli.py
@@ -4,6 +4,7 @@
 import logging
 import os
 import sys
+from pathlib import Path
 
 REMOTE = {
     "submit": "submit a job from a JSON file",
@@ -14,7 +15,9 @@
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
-def serve(path: str) -> int:
+def serve(path: str, features_path: Path | None = None) -> int:
+    """Run a controller until something kills it; 2 if a file cannot be used."""
+    from pepperlatch import features
     from pepperlatch.settings import SettingsError, load
 
     try:
@@ -22,6 +25,11 @@
     except SettingsError as error:
         print(f"settings {path}: {error}", file=sys.stderr)
         return 2
+    try:
+        features.load(features_path or Path(os.devnull))
+    except features.FeaturesError as error:
+        print(f"features {features_path}: {error}", file=sys.stderr)
+        return 2
     level = LEVELS.get(os.environ.get("LOG_LEVEL", "error").lower(), logging.ERROR)
     logging.basicConfig(level=level, format=f"%(levelname).1s {settings.node} %(message)s", stream=sys.stderr)
 
--- a/pepperlatch/constants/core.py
+++ b/pepperlatch/constants/core.py
@@ -112,6 +112,7 @@
 FRESH_REPORTS: Final = 2.2  # report intervals since its last report in which a machine gets new tasks
 EPS: Final = 1e-6  # CPUs or GB; sums of decimal amounts are compared with this allowance
 QUEUE_LONG: Final = 200  # commands; a longer queue is logged: the node falls behind
+PART_PAUSE_S: Final = 5.0  # s; before a part that raised is started again; its cause seldom goes sooner
 QUEUE_MOST: Final = 2000  # commands; several reports of every machine; more reports are refused at once
 PLAN_GAP_S: Final = 0.1  # s; changes that come together are planned for together
 PLAN_REST: Final = 3.0  # times its own length that a round is followed by other work: reports go before planning
--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -2,7 +2,7 @@
 
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -16,6 +16,7 @@
 from pepperlatch.controller.leader import Leader
 from pepperlatch.controller.leadership import Leadership, Term, hold_seconds
 from pepperlatch.controller.owner import Owner, Reply
+from pepperlatch.controller.parts import Core, Part, Parts
 from pepperlatch.controller.peers import PEER_FENCE, PEER_INSPECT, Peers
 from pepperlatch.controller.store import Replica, Watched
 from pepperlatch.controller.users import Progress, Users
@@ -68,6 +69,7 @@
     def __init__(
         self, settings: Settings, network: Network, clock: Callable[[], float] = trio.current_time,
         wall: Callable[[], float] = time.time, seed: int | None = None,
+        parts: Sequence[Callable[[Core], Part]] = (),
     ) -> None:  # fmt: skip
         self.settings = settings
         self._network = network
@@ -85,6 +87,8 @@
         self.owner = Owner(self._settle, c.TICK_S / 5)
         self.users = Users(settings, self.watched, self.state, wall, self._progress)
         self.admin = Admin(self.watched, self.state, self.view)
+        core = Core(settings, self.users, self.watched, self.state, wall)
+        self.parts = Parts([part(core) for part in parts])
         self.leader: Leader | None = None
         self._nursery: trio.Nursery | None = None
         self._sent: dict[str, _Sent] = {}
@@ -101,7 +105,7 @@
             self._nursery = nursery
             loops = (
                 self.owner.run, self.watched.watch, self.watched.serve_syncs, self.users.create_loop,
-                self._contact_loop, self._health_loop, self._types_loop,
+                self._contact_loop, self._health_loop, self._types_loop, self.parts.run,
             )  # fmt: skip
             for loop in loops:
                 nursery.start_soon(loop)
@@ -118,6 +122,7 @@
         )  # fmt: skip
         if self._nursery is not None:
             self._nursery.start_soon(self.leader.run)
+            self._nursery.start_soon(self.parts.lead, term)
 
     def _changed(self, touched: set[str]) -> None:
         """The watch: the loss of leadership is seen before any job that came after it."""
@@ -137,7 +142,10 @@
             return self._health()
         if request.path == wire.REPORT and request.method == "POST":
             return await self._beat(request.body)
-        return await self.users.handle(request)
+        if request.path.startswith(wire.JOBS):
+            return await self.users.handle(request)
+        answer = await self.parts.handle(request.path.partition("?")[0], request)
+        return answer or await self.users.handle(request)
 
     def _health(self) -> Response:
         """Unhealthy only if the state service refuses this node alone; an outage is everyone's."""
@@ -374,6 +382,7 @@
         answer: dict[str, Any] = {
             "node": self.settings.node,
             "version": __version__,
+            "parts": self.parts.names(),
             "leader": held[0] if held else None,
             "token": held[1] if held else None,
         }
@@ -405,11 +414,12 @@
         return answer
 
 
-async def serve(settings: Settings) -> None:
+async def serve(settings: Settings, parts: Sequence[Callable[[Core], Part]] = ()) -> None:
+    """Run a node until it is cancelled, with the parts that are switched on."""
     limit = settings.params.limits.max_connections
     accepted = int(limit * c.SOCKET_SHARE_SERVER)
     network = HttpNetwork(limit - accepted - 20)
-    node = Node(settings, network)
+    node = Node(settings, network, parts=parts)
     log.info("version %s", __version__)
     async with trio.open_nursery() as nursery:
         for handler, address, most in (
--- a/run.py
+++ b/run.py
@@ -4,11 +4,12 @@
 import sys
 from pathlib import Path
 
-sys.path[:0] = [str(Path(__file__).resolve().parent / "target" / "deps")]
+HERE = Path(__file__).resolve().parent
+sys.path[:0] = [str(HERE / "target" / "deps")]
 
 from pepperlatch.command.cli import serve  # noqa: E402
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser(description="run a pepperlatch controller node")
     parser.add_argument("--config", required=True, metavar="FILE", help="settings file (TOML)")
-    sys.exit(serve(parser.parse_args().config))
+    sys.exit(serve(parser.parse_args().config, HERE / "deploy" / "features.toml"))
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,72 @@
+"""Stories of the seam: a part that raises, hangs or is asked for nothing of its own disturbs nobody."""
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+
+from pepperlatch import features
+from pepperlatch.controller.leadership import Term
+from pepperlatch.protocol.http.server import Request, Response
+from tests.fakes import World, job, story
+
+
+class Faulty:
+    """Raises wherever it is called, or never returns."""
+
+    name, prefix, paths = "faulty", "x/", ("/faulty", "/work/run-000001")
+
+    def __init__(self, core: Any) -> None:
+        self.led: list[int] = []
+
+    async def handle(self, request: Request) -> Response:
+        if request.path.endswith("hang"):
+            await trio.sleep_forever()
+        raise ValueError("a mistake")
+
+    async def run(self) -> None:
+        raise ValueError("a mistake")
+
+    async def lead(self, term: Term) -> None:
+        self.led.append(term.token)
+        raise ValueError("a mistake")
+
+
+def test_a_faulty_part_disturbs_nobody() -> None:
+    made: list[Faulty] = []
+
+    def part(core: Any) -> Faulty:
+        made.append(Faulty(core))
+        return made[-1]
+
+    async def tell(world: World) -> None:
+        assert (await world.ask(0, "GET", "/faulty/x"))[0] == 500
+        assert (await world.ask(0, "GET", "/faultyx"))[0] == 404
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(world.ask, 0, "GET", "/faulty/hang")
+            assert (await world.submit(job(1)))[0] == 201  # and a part takes no path of the jobs
+            nursery.cancel_scope.cancel()
+        leader = world.leader()
+        world.kill(leader)
+        await trio.sleep(1.0)
+        with trio.fail_after(90):
+            while await world.status(job(1)) != "done":
+                await trio.sleep(1.0)
+        assert sum(len(set(each.led)) for each in made) == 2  # told of both terms, and it did no harm
+        assert not [key for key in world.state.keys if key.startswith("x/")]
+
+    story(tell, parts=(part,))
+
+
+def test_features_are_checked_and_a_missing_file_means_off(tmp_path: Path) -> None:
+    assert features.load(tmp_path / "none.toml") == features.Features()
+    assert features.load(Path("deploy/features.toml")).pipelines.repeats == []
+    for text, place in (
+        ("[pipelines]\non = 1", r"\$\.pipelines\.on"),
+        ("[pipeline]\non = true", "pipeline"),
+        ("[pipelines]\nrepeat = []", "repeat"),
+        ("[pipelines", "Expected"),
+    ):
+        with pytest.raises(features.FeaturesError, match=place):
+            features.parse(text)
