--- a/pepperlatch/command/cli.py
+++ b/pepperlatch/command/cli.py
@@ -128,6 +128,52 @@
     return int(talk.change(values))
 
 
+# --- the view -------------------------------------------------------------------------------------
+
+ZONE = click.option(
+    "--zone", default="", metavar="NAME", help="time zone, e.g. Asia/Amman; else this machine's"
+)
+
+
+@cli.command()
+@remote(admin=True)
+@click.argument("words", nargs=-1, metavar="[FILTER...]")
+@ZONE
+@click.option("--once", is_flag=True, help="print the jobs as a plain table, or as JSON, and end")
+def console(talk: Any, words: tuple[str, ...], zone: str, once: bool) -> int:
+    """Which jobs wait, and why; machines, teams, events. Keeps itself current until q is pressed.
+
+    \b
+    Examples:
+      pepperlatch console --node 10.0.0.1:8081 --node 10.0.0.2:8081
+      pepperlatch console priority:urgent why:no-capacity
+      pepperlatch console --once team:web-services | grep run-000412
+    """
+    from pepperlatch.command import console as face
+
+    return face.watch(talk, " ".join(words), zone, once)
+
+
+@cli.command()
+@remote(admin=True)
+@click.option("-o", "file", required=True, metavar="FILE", help="where the page goes; - for standard output")
+@ZONE
+@click.option("--members", is_flag=True, help="jobs only, words in place of their names: for everyone to see")
+@click.option("--team", "teams", multiple=True, help="with --members: only jobs of these teams")
+@click.option("--names", is_flag=True, help="with --members: the names all the same")
+def report(talk: Any, file: str, zone: str, members: bool, teams: tuple[str, ...], names: bool) -> int:
+    """Write a page that anyone can open: one file, no network.
+
+    \b
+    Example: pepperlatch report --node 10.0.0.1:8081 -o report.html --zone Asia/Amman
+    """
+    from pepperlatch.command import console as face
+
+    if (teams or names) and not members:
+        raise click.UsageError("--team and --names go with --members")
+    return face.report(talk, file, zone, members, teams, names)
+
+
 # --- jobs -----------------------------------------------------------------------------------------
 
 
--- a/pepperlatch/command/serve.py
+++ b/pepperlatch/command/serve.py
@@ -1,6 +1,5 @@
 """Runs a controller. Imports nothing that a controller does not need, and nothing that is off."""
 
-import logging
 import os
 import sys
 from collections.abc import Callable
@@ -11,12 +10,9 @@
     from pepperlatch.controller.parts import Core, Part
     from pepperlatch.features import Features
 
-LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
-
-
 def serve(path: str, features_path: Path | None = None) -> int:
     """Run a controller until something kills it; 2 if a file cannot be used."""
-    from pepperlatch import features
+    from pepperlatch import features, logs
     from pepperlatch.settings import SettingsError, load
 
     try:
@@ -29,14 +25,16 @@
     except features.FeaturesError as error:
         print(f"features {features_path}: {error}", file=sys.stderr)
         return 2
-    level = LEVELS.get(os.environ.get("LOG_LEVEL", "error").lower(), logging.ERROR)
-    logging.basicConfig(level=level, format=f"%(levelname).1s {settings.node} %(message)s", stream=sys.stderr)
+    context = logs.configure(settings.node, os.environ)
 
     import trio
 
     from pepperlatch.controller import daemon
 
-    trio.run(daemon.serve, settings, _parts(wanted))
+    def made(node: daemon.Node) -> None:
+        context.token = lambda: node.leadership.term.token if node.leadership.term is not None else None
+
+    trio.run(daemon.serve, settings, _parts(wanted), made)
     return 0
 
 
@@ -47,4 +45,8 @@
         from pepperlatch.pipelines.part import Pipelines
 
         parts.append(lambda core: Pipelines(core, wanted.pipelines))
+    if wanted.console.on:
+        from pepperlatch.console.part import Console
+
+        parts.append(lambda core: Console(core, wanted.console))
     return parts
--- /dev/null
+++ b/pepperlatch/console/accounts.py
@@ -0,0 +1,142 @@
+"""Money by kind of machine, team and class, what of it was useful, and how long losses lasted. No I/O, no clock."""
+
+import statistics
+from collections import Counter, defaultdict, deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from pepperlatch.constants import console as c
+from pepperlatch.policy.model import Attempt, Machine, Status
+from pepperlatch.protocol.wire import Kind, TaskState
+
+BOOT, IDLE, FREE = "booting", "idle", "free room"
+# Ends that are no loss: the job or the task is over, or it never began.
+NO_LOSS = frozenset(("done", "the job is over", "done already", "not sent"))
+
+
+def _sums() -> dict[tuple[str, str], float]:
+    return defaultdict(float)
+
+
+@dataclass(slots=True)
+class Money:
+    """Spent since `since`, as far as this leader has seen it; prices in the cloud's own unit.
+
+    Each machine's cost is divided by what its room is used for: what tasks ask for (CPUs, or GPUs where there are
+    any), and the rest that nothing uses. The parts add up to the whole.
+    """
+
+    since: float  # steady clock
+    at: float
+    by_machine: dict[tuple[str, str], float] = field(default_factory=_sums)  # (type, spot or ordinary)
+    by_use: dict[tuple[str, str], float] = field(default_factory=_sums)  # (team, class), or ("", what it was not for)
+    paid_cpu_s: float = 0.0
+    useful_cpu_s: float = 0.0
+
+    def sample(self, machines: Iterable[Machine], now: float) -> None:
+        """Charge the time since the last sample by what is there now."""
+        took, self.at = now - self.at, now
+        if took <= 0:
+            return
+        for machine in machines:
+            cost = machine.price() * took / 3600
+            self.by_machine[(machine.type.name, "spot" if machine.spot else "ordinary")] += cost
+            self.paid_cpu_s += machine.type.cpus * took
+            if machine.status in (Status.BOOTING, Status.JOINING):
+                self.by_use[("", BOOT)] += cost
+            elif not machine.attempts:
+                self.by_use[("", IDLE)] += cost
+            else:
+                self._divide(machine, cost, took)
+
+    def _divide(self, machine: Machine, cost: float, took: float) -> None:
+        left = 1.0
+        for attempt in machine.attempts.values():
+            spec = attempt.job.spec
+            part = min(left, spec.gpus / machine.type.gpus if machine.type.gpus else spec.cpus / machine.type.cpus)
+            left -= part
+            self.by_use[(spec.team, spec.job_class)] += cost * part
+            if spec.kind is Kind.SERVICE and attempt.state is TaskState.RUNNING:
+                self.useful_cpu_s += spec.cpus * took
+        self.by_use[("", FREE)] += cost * left
+
+    def ended(self, attempt: Attempt, cause: str, now: float) -> None:
+        """The run time of a task that completed was useful."""
+        if cause == "done" and attempt.running_at is not None:
+            self.useful_cpu_s += (now - attempt.running_at) * attempt.job.spec.cpus
+
+    def shown(self, now: float) -> dict[str, Any]:
+        total = sum(self.by_machine.values())
+        unused = {name: self.by_use[("", name)] for name in (BOOT, IDLE, FREE)}
+        return {
+            "spent": round(total, 4),
+            "over_s": round(now - self.since, 1),
+            "useful_share": round(self.useful_cpu_s / self.paid_cpu_s, 3) if self.paid_cpu_s else None,
+            "by_machine": [
+                {"type": name, "kind": kind, "spent": round(cost, 4)}
+                for (name, kind), cost in sorted(self.by_machine.items())
+            ],
+            "by_use": [
+                {"team": team, "class": job_class, "spent": round(cost, 4)}
+                for (team, job_class), cost in sorted(self.by_use.items()) if team
+            ],
+            "unused": {name: round(cost, 4) for name, cost in unused.items()},
+        }  # fmt: skip
+
+
+@dataclass(slots=True)
+class Cause:
+    lost: int = 0
+    back: int = 0
+    spans: deque[float] = field(default_factory=lambda: deque(maxlen=c.SAMPLES_KEPT))
+    longest: float = 0.0
+
+
+@dataclass(slots=True)
+class Recoveries:
+    """Tasks that ended without being done, by cause, and how long until each ran again."""
+
+    causes: dict[str, Cause] = field(default_factory=dict)
+    _open: dict[str, dict[int, tuple[float, str]]] = field(default_factory=dict)  # by job and task
+    _count: int = 0
+
+    def ended(self, attempt: Attempt, cause: str, now: float) -> None:
+        if cause in NO_LOSS or attempt.running_at is None:
+            return
+        label = cause.split(" run-")[0][: c.CAUSE_CHARS]  # "stopped for run-..." is one cause, not one for each job
+        if label not in self.causes and len(self.causes) >= c.SAMPLES_KEPT:
+            label = "other"
+        self.causes.setdefault(label, Cause()).lost += 1
+        if self._count < c.LOSSES_MOST:
+            self._close(attempt)
+            self._open.setdefault(attempt.job.spec.id, {})[attempt.task] = (now, label)
+            self._count += 1
+
+    def started(self, attempt: Attempt, now: float) -> None:
+        found = self._close(attempt)
+        if found is not None:
+            cause, took = self.causes[found[1]], now - found[0]
+            cause.back += 1
+            cause.spans.append(took)
+            cause.longest = max(cause.longest, took)
+
+    def over(self, job_id: str) -> None:
+        """Nobody waits for tasks of a job that is over."""
+        self._count -= len(self._open.pop(job_id, ()))
+
+    def _close(self, attempt: Attempt) -> tuple[float, str] | None:
+        found = self._open.get(attempt.job.spec.id, {}).pop(attempt.task, None)
+        self._count -= found is not None
+        return found
+
+    def shown(self) -> list[dict[str, Any]]:
+        waiting = Counter(label for tasks in self._open.values() for _, label in tasks.values())
+        return [
+            {
+                "cause": label, "lost": cause.lost, "run_again": cause.back, "waiting": waiting[label],
+                "median_s": round(statistics.median(cause.spans), 1) if cause.spans else None,
+                "longest_s": round(cause.longest, 1) if cause.back else None,
+            }
+            for label, cause in sorted(self.causes.items(), key=lambda item: -item[1].lost)
+        ]  # fmt: skip
--- /dev/null
+++ b/pepperlatch/console/metrics.py
@@ -0,0 +1,87 @@
+"""Metrics in the usual exposition format, on the usual library; imported when the first scrape comes.
+
+Labels are kinds, teams, types and zones of the deployment: nothing that grows with jobs or machines.
+"""
+
+from collections import Counter
+from collections.abc import Iterator, Mapping
+from typing import TYPE_CHECKING, Any
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+
+from pepperlatch import __version__
+from pepperlatch.console.model import machine_totals
+from pepperlatch.console.recorder import Recorder
+from pepperlatch.controller.parts import Core
+
+if TYPE_CHECKING:
+    from pepperlatch.controller.leader import Leader
+
+KIND = "text/plain; version=0.0.4; charset=utf-8"
+Leads = tuple["Leader", Recorder] | None
+
+
+class Collector:
+    """Reads everything at the moment of the scrape; a node that does not lead has only what is its own."""
+
+    def __init__(self, core: Core, leads: Leads) -> None:
+        self._core = core
+        leader = core.leading()
+        self._leads = leads if leads is not None and leads[0] is leader and not leads[0].term.over else None
+
+    def collect(self) -> Iterator[Metric]:
+        node = self._core.settings.node
+        yield _gauge("pepperlatch_info", "Version of this node", ("node", "version"), {(node, __version__): 1})
+        yield _gauge("pepperlatch_leads", "1 on the node that leads", (), {(): float(self._leads is not None)})
+        reachable = float(self._core.state.reachable())
+        yield _gauge("pepperlatch_state_service_up", "1 if the state service answers this node", (), {(): reachable})
+        if self._leads is not None:
+            yield from self._of_leader(*self._leads)
+
+    def _of_leader(self, leader: "Leader", recorder: Recorder) -> Iterator[Metric]:
+        cluster = leader.cluster
+        jobs: Counter[tuple[str, ...]] = Counter()
+        tasks: Counter[tuple[str, ...]] = Counter()
+        for job in cluster.jobs.values():
+            if not job.over:
+                jobs[(job.reason.kind.value, job.spec.priority.value)] += 1
+                tasks[(job.reason.kind.value,)] += len(job.waiting)
+        jobs[("needs", "")] = leader.replica.waiting_for_others()
+        yield _gauge("pepperlatch_jobs", "Unfinished jobs by stated reason", ("reason", "priority"), jobs)
+        yield _gauge("pepperlatch_tasks_waiting", "Tasks without a place, by reason", ("reason",), tasks)
+        machines: Counter[tuple[str, ...]] = Counter()
+        for row in machine_totals(cluster.machines.values(), cluster.unaccounted):
+            machines[(row["type"], row["zone"], "spot" if row["spot"] else "ordinary", row["state"])] += row["count"]
+        yield _gauge("pepperlatch_machines", "Machines", ("type", "zone", "kind", "state"), machines)
+        used = {(name,): cluster.quota.of(name).cpus for name in cluster.quota.teams}
+        yield _gauge("pepperlatch_team_cpus", "CPUs that a team's tasks use", ("team",), used)
+        most = {(name,): team.cpus_max for name, team in cluster.quota.teams.items()}
+        yield _gauge("pepperlatch_team_cpus_limit", "CPUs that a team may use", ("team",), most)
+        yield from self._counted(recorder, leader)
+
+    def _counted(self, recorder: Recorder, leader: "Leader") -> Iterator[Metric]:
+        recorder.money.sample(leader.cluster.machines.values(), leader.clock())
+        spent = CounterMetricFamily("pepperlatch_spent", "Money since this node leads", labels=("type", "kind"))
+        for (name, kind), cost in sorted(recorder.money.by_machine.items()):
+            spent.add_metric((name, kind), cost)
+        yield spent
+        text = "Tasks that ended undone since this node leads"
+        lost = CounterMetricFamily("pepperlatch_tasks_lost", text, labels=("cause",))
+        for row in recorder.recoveries.shown():
+            lost.add_metric((row["cause"],), row["lost"])
+        yield lost
+
+
+def _gauge(name: str, text: str, labels: tuple[str, ...], values: Mapping[Any, float]) -> Metric:
+    gauge = GaugeMetricFamily(name, text, labels=labels)
+    for key in sorted(values):
+        gauge.add_metric(key, values[key])
+    return gauge
+
+
+def exposed(core: Core, leads: Leads) -> tuple[str, bytes]:
+    """Content type and text of one scrape."""
+    registry = CollectorRegistry()
+    registry.register(Collector(core, leads))
+    return KIND, generate_latest(registry)
--- /dev/null
+++ b/pepperlatch/console/mirror.py
@@ -0,0 +1,146 @@
+"""A viewer's copy of the view: a snapshot, then what has changed since.
+
+It survives a change of leader, and says how old it is. No terminal and no page here: the console and the report both
+look at a `Mirror`.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import trio
+
+from pepperlatch.console.rows import JobRow, Query
+from pepperlatch.console.service import BASE
+from pepperlatch.constants import console as c
+
+Ask = Callable[[str, str], Awaitable[tuple[int, Any]]]
+
+
+class Silent(Exception):
+    """Nobody answers in time; the text says what came last."""
+
+
+class Refused(Exception):
+    """The service answers, and will not show that; the text says why."""
+
+
+_HEAD = ("node", "version", "leader", "token", "revision", "at", "age_s")
+
+
+@dataclass(slots=True)
+class Mirror:
+    """`ask(method, path)` tries one node after the other; it raises Silent if none answers in time.
+
+    After every call the copy is whole: cancelled or failed in the middle, it is as it was before.
+    """
+
+    ask: Ask
+    query: Query = field(default_factory=lambda: Query(state="unfinished", page=c.PAGE_MOST, most=c.CONSOLE_BYTES))
+    head: dict[str, Any] = field(default_factory=dict)
+    rows: dict[str, JobRow] = field(default_factory=dict)
+    overview: dict[str, Any] = field(default_factory=dict)
+    behind: bool = False  # more has changed than fits one answer
+    why_stale: str = ""  # nobody answers, or only a node that does not lead
+    answered_at: float = float("-inf")  # steady clock
+    _since: int = -1  # revision; -1: a snapshot is wanted
+
+    async def complete(self) -> None:
+        """Wait until a leader has taken in all that it was told of; it makes few rows at once. Raises as `load`."""
+        while (await self._get(self.query.path(f"{BASE}/jobs", page=1))).get("pending"):
+            await trio.sleep(c.POLL_S / 2)
+
+    async def load(self, most: int = 1_000_000) -> None:
+        """Take a snapshot of up to so many jobs. What its leader has not taken in yet comes with the changes.
+
+        Raises Silent or Refused.
+        """
+        found: dict[str, JobRow] = {}
+        first: dict[str, Any] = {}
+        after = ""
+        while True:
+            page = await self._get(self.query.path(f"{BASE}/jobs", **({"after": after} if after else {})))
+            first = first or page
+            found.update((row.id, row) for row in _rows(page["jobs"]))
+            after = page["next"]
+            if not after or len(found) >= most:
+                break
+        self.rows = found
+        self._answered(first)
+        self._since = first["revision"] if first["source"] == "leader" else -1
+
+    async def step(self) -> None:
+        """Take in what has changed; a new snapshot where that cannot be told. Raises Silent or Refused."""
+        if self._since < 0:
+            await self.load()
+            return
+        path = self.query.path(f"{BASE}/changes", token=self.head["token"], since=self._since)
+        try:
+            status, answer = await self.ask("GET", path)
+        except Silent:
+            if trio.current_time() - self.answered_at > c.STALE_S:  # by now, records may be all there is
+                self._since = -1
+            raise
+        if status == 410:
+            await self.load()
+            return
+        if status != 200:
+            raise Refused(_said(status, answer))
+        for row in _rows(answer["jobs"]):
+            self.rows[row.id] = row
+        for job_id in answer["gone"]:
+            self.rows.pop(job_id, None)
+        self._since, self.behind = answer["upto"], answer["more"]
+        self._answered(answer)
+
+    def ask_for(self, query: Query) -> None:
+        """Other jobs from the next step on."""
+        if query != self.query:
+            self.query, self._since = query, -1
+
+    async def look_over(self) -> None:
+        """Ask for all but the jobs. Raises Silent or Refused."""
+        self.overview = await self._get(f"{BASE}/overview")
+
+    async def job(self, job_id: str) -> dict[str, Any]:
+        """One job with its time line. Raises Silent or Refused."""
+        return await self._get(f"{BASE}/jobs/{job_id}")
+
+    async def part(self, name: str) -> list[dict[str, Any]]:
+        """`machines` or `events`. Raises Silent or Refused."""
+        found: list[dict[str, Any]] = (await self._get(f"{BASE}/{name}"))[name]
+        return found
+
+    def stale(self) -> str:
+        """Why what is shown may be old; empty if it is not."""
+        if self.why_stale:
+            return self.why_stale
+        if trio.current_time() - self.answered_at > c.STALE_S:
+            return "no answer"
+        return ""
+
+    def _answered(self, answer: dict[str, Any]) -> None:
+        self.head = {name: answer.get(name) for name in _HEAD}
+        self.answered_at = trio.current_time()
+        records = f"from the records at {answer['node']}: {answer.get('why')}"
+        self.why_stale = "" if answer["source"] == "leader" else records
+
+    async def _get(self, path: str) -> dict[str, Any]:
+        status, answer = await self.ask("GET", path)
+        if status != 200:
+            raise Refused(_said(status, answer))
+        found: dict[str, Any] = answer
+        return found
+
+
+def _said(status: int, answer: Any) -> str:
+    return str(answer.get("error", status)) if isinstance(answer, dict) else str(status)
+
+
+def _rows(found: list[Any]) -> list[JobRow]:
+    """Raises Refused if a later version shows what this one cannot read."""
+    try:
+        return msgspec.convert(found, list[JobRow])
+    except msgspec.ValidationError as error:
+        raise Refused(f"the service shows jobs in a way that is not known here: {error}") from None
--- /dev/null
+++ b/pepperlatch/console/model.py
@@ -0,0 +1,344 @@
+"""What a leader shows: rows of jobs under one revision, machines, teams, money. Both faces are made from this.
+
+Everything is read in one go from the leader's own picture, without a pause in between, so each answer is consistent.
+Rows are made anew only where something was told of a job; without a viewer there are none.
+"""
+
+from bisect import bisect_right
+from collections import Counter
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from pepperlatch.console import rows
+from pepperlatch.console.recorder import Recorder
+from pepperlatch.console.rows import JobRow, Query, plain
+from pepperlatch.constants import console as c
+from pepperlatch.controller.store import Entry, Replica
+from pepperlatch.controller.users import Progress, standing_reason
+from pepperlatch.policy.model import Job, Machine, Status
+from pepperlatch.policy.reasons import PLACING, Reason, Why
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.wire import JobState
+
+if TYPE_CHECKING:
+    from pepperlatch.controller.leader import Leader
+
+_RUNNING, _QUEUED = JobState.RUNNING.value, JobState.QUEUED.value
+
+
+class Gone(Exception):
+    """Changes since then are not known any more: a snapshot has to be taken."""
+
+
+class Model:
+    """Rows of one term. The revision counts what viewers could have noticed; rows keep theirs in `_feed`."""
+
+    def __init__(self, leader: "Leader", recorder: Recorder) -> None:
+        self.leader = leader
+        self.recorder = recorder
+        self.revision = 0
+        self.oldest = 0  # changes up to here are not known any more
+        self.rows: dict[str, JobRow] = {}
+        self._changed: dict[str, int] = {}  # the revision in which a row last changed, also of rows that are gone
+        self._feed: list[tuple[int, str]] = []  # in order; an entry whose row changed again later counts no more
+        self._shown_at: dict[str, float] = {}
+        self._ended: dict[str, float] = {}  # jobs that are over, oldest first
+        self._totals: tuple[int, dict[str, Any]] = (-1, {})
+        self._later = 0  # rows of which only the text has changed, and too lately to show
+        self._texts: dict[int, tuple[Reason, str]] = {}
+        self._found: tuple[int, Query, list[JobRow]] | None = None  # of the last query, for its next page
+
+    # --- making rows ------------------------------------------------------------------------------
+
+    def refresh(self, most: int = c.ROWS_AT_ONCE) -> None:
+        """Take in what has changed; the first time, all there is. A part of it, where that is much: see `pending`."""
+        now, at = self.leader.clock(), self.leader.wall() - self.leader.clock()
+        dirty = self.recorder.dirty
+        if dirty is None:
+            dirty = set(self.leader.replica.chain.unfinished())
+            self.recorder.dirty = dirty
+        revision, later = self.revision + 1, set()
+        for job_id in [dirty.pop() for _ in range(min(most, len(dirty)))]:
+            held = self.rows.get(job_id)
+            row = self._made(job_id, held, at)
+            if row is None:
+                continue
+            if held is None or _differ(held, row):
+                self._put(row, revision, now)
+            elif held.text != row.text:
+                if now - self._shown_at[job_id] >= c.TEXT_S:
+                    self._put(row, revision, now)
+                else:
+                    later.add(job_id)
+        dirty |= later
+        self._later = len(later)
+        self._drop_ended(revision, now)
+        if self._feed and self._feed[-1][0] == revision:
+            self.revision = revision
+        if len(self._feed) > 2 * len(self.rows) + c.PAGE_MOST:
+            self._compact()
+
+    def pending(self) -> int:
+        """Jobs that something was told of and that are not taken in yet, but for mere numbers in a text."""
+        return max(0, len(self.recorder.dirty or ()) - self._later)
+
+    def forget(self) -> None:
+        """Nobody looks: keep no rows. Whoever comes back takes a snapshot."""
+        self.oldest = self.revision = self.revision + 1
+        self.recorder.dirty = None
+        self._found = None
+        for held in (self.rows, self._changed, self._feed, self._shown_at, self._ended):
+            held.clear()
+
+    def _put(self, row: JobRow, revision: int, now: float) -> None:
+        self.rows[row.id] = row
+        self._changed[row.id] = revision
+        self._shown_at[row.id] = now
+        self._feed.append((revision, row.id))
+        if row.state in rows.OVER:
+            self._ended.setdefault(row.id, now)
+
+    def _drop_ended(self, revision: int, now: float) -> None:
+        while self._ended:
+            job_id, at = next(iter(self._ended.items()))
+            if now - at < c.ENDED_KEPT_S and len(self._ended) <= c.ENDED_KEPT:
+                return
+            del self._ended[job_id], self.rows[job_id], self._shown_at[job_id]
+            self._changed[job_id] = revision
+            self._feed.append((revision, job_id))
+
+    def _compact(self) -> None:
+        """Forget entries that count no more, and rows that went long ago."""
+        live = [(revision, job_id) for revision, job_id in self._feed if self._changed.get(job_id) == revision]
+        gone = [entry for entry in live if entry[1] not in self.rows]
+        for revision, job_id in gone[: -c.PAGE_MOST]:
+            self.oldest = max(self.oldest, revision)
+            del self._changed[job_id]
+        self._feed = [entry for entry in live if entry[1] in self._changed]
+
+    def _made(self, job_id: str, held: JobRow | None, at: float) -> JobRow | None:
+        """`at`: what makes a moment of the steady clock a time of day."""
+        job = self.leader.cluster.jobs.get(job_id)
+        entry = self.leader.replica.jobs.get(job_id)
+        if entry is None:
+            return None
+        if job is not None and not job.over:
+            return _of_job(job, self._text(job.reason), entry.record.at, at, held)
+        if held is None and entry.state in wire.FINAL:
+            return None
+        return of_record(job_id, entry, self.leader.replica, at + self.leader.clock(), held)
+
+    def _text(self, reason: Reason) -> str:
+        """Many jobs share one reason: its words are made once."""
+        known = self._texts.get(id(reason))
+        if known is None or known[0] is not reason:
+            if len(self._texts) >= c.PAGE_MOST:
+                self._texts.clear()
+            known = self._texts[id(reason)] = (reason, reason.text())
+        return known[1]
+
+    # --- answers ----------------------------------------------------------------------------------
+
+    def page(self, query: Query) -> dict[str, Any]:
+        """One page; `next` asks for the one after it, of the same moment unless somebody else asks in between.
+
+        Changes since the first page's revision make the pages one moment in any case.
+        """
+        wanted = msgspec.structs.replace(query, after="")
+        kept = self._found
+        if kept is None or kept[1] != wanted or (not query.after and kept[0] != self.revision):
+            kept = self._found = (self.revision, wanted, rows.found(self.rows.values(), query))
+        found, after = rows.page(kept[2], query)
+        return {
+            "jobs": plain(found), "next": after, "shown": len(kept[2]), "pending": self.pending(), "revision": kept[0],
+        }  # fmt: skip
+
+    def changes(self, query: Query, since: int) -> dict[str, Any]:
+        """Rows that changed after a revision, oldest change first, up to about `query.most` bytes.
+
+        `upto` is the revision to ask with the next time. Raises Gone if what went since is not known any more.
+        """
+        if since < self.oldest or since > self.revision:
+            raise Gone
+        found: list[JobRow] = []
+        gone: list[str] = []
+        size, upto = 0, since
+        for revision, job_id in self._feed[bisect_right(self._feed, (since, "\uffff")) :]:
+            if self._changed.get(job_id) != revision:
+                continue
+            if size >= query.most and revision > upto:  # a revision is given whole
+                return {"jobs": plain(found), "gone": gone, "upto": upto, "more": True}
+            row = self.rows.get(job_id)
+            if row is not None and query.takes(row):
+                found.append(row)
+                size += 200 + len(row.text)
+            else:
+                gone.append(job_id)
+                size += len(job_id) + 3
+            upto = revision
+        return {"jobs": plain(found), "gone": gone, "upto": self.revision, "more": False}
+
+    def totals(self) -> dict[str, Any]:
+        if self._totals[0] != self.revision:
+            self._totals = (self.revision, rows.totals(self.rows.values()))
+        return self._totals[1]
+
+    def order(self, job_id: str) -> dict[str, Any] | None:
+        """Whose jobs are before a job that has no place, in the order of the last round."""
+        needs = self.leader.planner.needs
+        place = next((n for n, need in enumerate(needs) if need.job.spec.id == job_id), None)
+        if place is None:
+            return None
+        before = needs[:place]
+        return {
+            "place": place + 1,
+            "of": len(needs),
+            "before": [
+                {"id": n.job.spec.id, "team": n.job.spec.team, "priority": n.job.spec.priority.value, "tasks": n.count}
+                for n in before[: c.AHEAD_SHOWN]
+            ],
+            "before_by_team": dict(Counter(n.job.spec.team for n in before)),
+            "within_guarantee": job_id in self.leader.planner.inside,
+        }
+
+    def overview(self) -> dict[str, Any]:
+        """All but the jobs themselves."""
+        leader = self.leader
+        cluster, planner = leader.cluster, leader.planner
+        now = leader.clock()
+        self.recorder.money.sample(cluster.machines.values(), now)
+        return {
+            **self.totals(),
+            "waits_for_others": leader.replica.waiting_for_others(),
+            "teams": [self._team(team.name) for team in leader.settings.params.teams],
+            "machines": machine_totals(cluster.machines.values(), cluster.unaccounted),
+            "rebuilding": len(cluster.unaccounted),
+            "drains": {"begun": planner.drains_begun, "cancelled": planner.drains_cancelled},
+            "dark_zones": sorted(planner.dark),
+            "refused_offers": [
+                {"type": o.type, "zone": o.zone, "spot": o.spot, "until_s": round(until - now, 1)}
+                for o, until in sorted(planner.blocked.items(), key=lambda item: item[1]) if until > now
+            ],
+            "money": self.recorder.money.shown(now),
+            "recoveries": self.recorder.recoveries.shown(),
+            "history": {
+                "lines": len(self.recorder.history), "bytes": self.recorder.history.size(),
+                "dropped": self.recorder.history.dropped,
+            },
+        }  # fmt: skip
+
+    def _team(self, name: str) -> dict[str, Any]:
+        quota = self.leader.cluster.quota
+        team, used, unseen = quota.teams[name], quota.of(name), quota.hidden.get(name)
+        return {
+            "name": name,
+            "cpus": used.cpus, "cpus_guaranteed": team.cpus, "cpus_limit": team.cpus_max,
+            "gpus": used.gpus, "gpus_guaranteed": team.gpus, "gpus_limit": team.gpus_max,
+            "cpus_unseen": unseen.cpus if unseen else 0.0,
+        }  # fmt: skip
+
+    def machines(self) -> list[dict[str, Any]]:
+        """Every machine with its state and why it is in it."""
+        cluster, now = self.leader.cluster, self.leader.clock()
+        return [
+            {
+                "name": m.name, "type": m.type.name, "zone": m.zone, "spot": m.spot, "state": state, "why": why,
+                "tasks": len(m.attempts), "used_share": round(m.used_share(), 3),
+                "silent_s": round(now - m.seen_at, 1) if m.seen_at >= 0 else None, "images": len(m.images),
+            }
+            for m in cluster.machines.values() for state, why in [machine_state(m, m.name in cluster.unaccounted)]
+        ]  # fmt: skip
+
+
+def _differ(one: JobRow, other: JobRow) -> bool:
+    """In what viewers are told at once; numbers in a text may wait a little."""
+    return (
+        one.why != other.why or one.since != other.since or one.state != other.state or one.waiting != other.waiting
+        or one.running != other.running or one.done != other.done
+    )  # fmt: skip
+
+
+def _of_job(job: Job, text: str, accepted: float, at: float, held: JobRow | None) -> JobRow:
+    """`at`: what makes a moment of the steady clock a time of day; that wanders, so a span keeps its beginning."""
+    spec, reason = job.spec, job.reason
+    running = job.running() if job.live else 0
+    why, since = reason.kind._value_, _tenths(at + job.reason_since)
+    if held is not None and held.why == why and abs(held.since - since) < c.WANDER_S:
+        since = held.since
+    return JobRow(
+        spec.id, spec.team, spec.job_class, spec.kind._value_, spec.priority._value_,
+        _RUNNING if running else _QUEUED, spec.tasks, why, text, _tenths(accepted), since, len(job.done), running,
+        len(job.waiting), _tenths(at + reason.until) if reason.until is not None else None,
+        _tenths(at + job.due_at) if job.due_at is not None else None,
+    )  # fmt: skip
+
+
+def _tenths(seconds: float) -> float:
+    return int(seconds * 10) / 10
+
+
+def of_record(
+    job_id: str, entry: Entry, replica: Replica, wall: float, held: JobRow | None = None, told: Progress | None = None
+) -> JobRow | None:
+    """A job that the leader does not work on, from its record alone: it waits for others, or is over.
+
+    `told`: what a node that does not lead was told of it by the leader.
+    """
+    spec, reason = entry.record.spec, standing_reason(replica, job_id)
+    if entry.state in wire.FINAL:
+        if held is None:
+            return None
+        text = reason.text() if reason is not None else entry.state.value
+        done = held.tasks if entry.state is JobState.DONE else held.done
+        why = reason.kind.value if reason is not None else held.why
+        since = held.since if rows.over(held) else round(wall, 1)
+        return msgspec.structs.replace(
+            held, state=entry.state.value, why=why, text=text, done=done, running=0, waiting=0, since=since,
+            until=None,
+        )  # fmt: skip
+    if spec is None:
+        return None
+    running, done, since = 0, 0, entry.record.at
+    if reason is None:
+        reason = PLACING
+        if told is not None:
+            reason, running, done, since = told.reason, told.running, told.done, wall - told.waited_s
+    state = JobState.RUNNING if running else JobState.QUEUED
+    return JobRow(
+        job_id, spec.team, spec.job_class, spec.kind.value, spec.priority.value, state.value, spec.tasks,
+        reason.kind.value, reason.text(), round(entry.record.at, 1), round(since, 1), done, running,
+        0 if reason.kind in (Why.RUNNING, Why.STARTING, Why.FETCHING) else spec.tasks - done - running,
+        due=round(entry.record.at + spec.deadline_s, 1) if spec.deadline_s else None,
+    )  # fmt: skip
+
+
+def machine_state(machine: Machine, unaccounted: bool) -> tuple[str, str]:
+    """In one word, and why."""
+    if machine.status is Status.LEAVING:
+        return "leaving", machine.leaves_for
+    if machine.status is not Status.UP:
+        return machine.status.value, ""
+    if unaccounted:
+        return "unaccounted", "not heard of since the takeover"
+    if machine.quarantined:
+        return "quarantined", "two different tasks failed there in a row"
+    if machine.notice_at is not None:
+        return "noticed", "the cloud takes it back"
+    if machine.draining is not None:
+        return "draining", machine.draining
+    if machine.probes or machine.probes_unheard:
+        return "silent", "does not answer; others are asked"
+    return ("busy" if machine.attempts else "idle"), ""
+
+
+def machine_totals(machines: Iterable[Machine], unaccounted: set[str]) -> list[dict[str, Any]]:
+    """Counts by type, zone, kind and state."""
+    counts = Counter(
+        (m.type.name, m.zone, m.spot, machine_state(m, m.name in unaccounted)[0]) for m in machines
+    )  # fmt: skip
+    return [
+        {"type": name, "zone": zone, "spot": spot, "state": state, "count": count}
+        for (name, zone, spot, state), count in sorted(counts.items())
+    ]
--- /dev/null
+++ b/pepperlatch/console/report.py
@@ -0,0 +1,148 @@
+"""The page that anyone can open: one file, no network, everything in it escaped. From the same model as the console."""
+
+import base64
+import hashlib
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from datetime import tzinfo
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from jinja2 import Environment, FileSystemLoader, StrictUndefined
+
+from pepperlatch.console import picture
+from pepperlatch.console.mirror import Mirror
+from pepperlatch.console.picture import Group
+from pepperlatch.console.public import Hidden
+from pepperlatch.console.rows import JobRow
+from pepperlatch.constants import console as c
+
+TEMPLATES = Path(__file__).parent / "templates"
+
+
+@dataclass(slots=True)
+class Content:
+    """All that the page shows, already what its reader may see."""
+
+    head: dict[str, Any]
+    rows: list[JobRow]
+    overview: dict[str, Any]
+    stale: str = ""
+    left_out: int = 0
+    lines: list[tuple[JobRow, dict[str, Any]]] = field(default_factory=list)
+    events: list[dict[str, Any]] = field(default_factory=list)
+
+
+async def gather(mirror: Mirror, lines: int = c.REPORT_LINES) -> Content:
+    """Ask for everything once. Raises Silent or Refused if nobody answers for the jobs; the rest may be missing."""
+    await mirror.complete()
+    await mirror.load(c.SEARCH_ROWS + 1)
+    rows = sorted(mirror.rows.values(), key=picture.first_wanted)
+    content = Content(dict(mirror.head), rows[: c.SEARCH_ROWS], {}, mirror.stale())
+    await mirror.look_over()
+    content.overview = dict(mirror.overview)
+    total = sum(content.overview.get("states", {}).values())
+    content.left_out = max(0, total - len(content.rows)) if len(rows) > c.SEARCH_ROWS else 0
+    if not content.stale:
+        content.events = await mirror.part("events")
+        waiting = [row for row in content.rows if row.waiting][:lines]
+        content.lines = [(row, await mirror.job(row.id)) for row in waiting]
+    return content
+
+
+def for_members(content: Content, hidden: Hidden) -> Content:
+    """No machines, teams, money, events or time lines; names as `hidden` allows."""
+    shown = hidden.rows([msgspec.to_builtins(row) for row in content.rows])
+    overview = {name: content.overview[name] for name in ("states", "waits") if name in content.overview}
+    return Content(content.head, msgspec.convert(shown, list[JobRow]), overview, content.stale, content.left_out)
+
+
+# --- charts: plain figures for the template, which draws them as SVG ------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Bar:
+    """One row of a chart; widths and marks are shares of the longest."""
+
+    label: str
+    value: str
+    share: float
+    marks: tuple[tuple[str, float], ...] = ()  # what else is drawn on it: name and place
+
+
+def wait_bars(groups: Sequence[Group]) -> list[Bar]:
+    waiting = [group for group in groups if group.tasks]
+    most = max((group.tasks for group in waiting), default=1)
+    return [Bar(group.why, f"{group.tasks} tasks of {len(group.rows)} jobs", group.tasks / most) for group in waiting]
+
+
+def team_bars(teams: Iterable[dict[str, Any]]) -> list[Bar]:
+    """CPUs in use, with guarantee and limit marked; each bar by its own limit."""
+    bars = []
+    for team in teams:
+        limit = max(team["cpus_limit"], team["cpus"], 1e-9)
+        value = f"{team['cpus']:g} of {team['cpus_limit']:g} CPUs, {team['cpus_guaranteed']:g} guaranteed"
+        bars.append(Bar(team["name"], value, team["cpus"] / limit, (("guaranteed", team["cpus_guaranteed"] / limit),)))
+    return bars
+
+
+def machine_bars(totals: Iterable[dict[str, Any]]) -> list[Bar]:
+    counts = picture.machine_counts(totals)
+    most = max(counts.values(), default=1)
+    return [Bar(state, str(count), count / most) for state, count in counts.items()]
+
+
+# --- the page -------------------------------------------------------------------------------------
+
+
+def _environment() -> Environment:
+    made = Environment(
+        loader=FileSystemLoader(TEMPLATES), autoescape=True, undefined=StrictUndefined, trim_blocks=True,
+        lstrip_blocks=True,
+    )  # fmt: skip
+    made.filters["span"] = picture.span
+    return made
+
+
+def render(content: Content, zone: tzinfo | None, title: str = "pepperlatch") -> str:
+    """The whole page. Names of jobs, teams and classes are whatever users chose: nothing of them is markup here."""
+    script = (TEMPLATES / "search.js").read_text("utf-8")
+    digest = base64.b64encode(hashlib.sha256(script.encode("utf-8")).digest()).decode("ascii")
+    now = content.head.get("at") or 0.0
+    found = picture.groups(content.rows)
+    return _environment().get_template("report.html.j2").render(
+        title=title,
+        now=now,
+        moment=lambda at: picture.moment(at, zone),
+        made_at=picture.day_and_moment(now, zone),
+        zone=picture.zone_name(zone, now),
+        content=content,
+        headline=picture.headline(content.overview),
+        groups=found,
+        wait_bars=wait_bars(found),
+        team_bars=team_bars(content.overview.get("teams", [])),
+        machine_bars=machine_bars(content.overview.get("machines", [])),
+        reason=lambda row: picture.reason_text(row, now),
+        tables=_tables(content, zone, now),
+        lines=[(row, detail, picture.line_cells(detail["line"], zone, now)) for row, detail in content.lines],
+        order_text=picture.order_text,
+        script=script,
+        script_hash=digest,
+    )  # fmt: skip
+
+
+def _tables(content: Content, zone: tzinfo | None, now: float) -> list[tuple[str, Sequence[str], list[list[str]]]]:
+    """Those that there is something for: title, columns, rows."""
+    overview = content.overview
+    money = overview.get("money")
+    found: list[tuple[str, Sequence[str], list[list[str]]]] = [
+        ("What is waited for", picture.WAIT_COLUMNS, picture.wait_cells(overview.get("waits", []), now)),
+        ("Teams", picture.TEAM_COLUMNS, picture.team_cells(overview.get("teams", []))),
+        ("Recoveries", picture.RECOVERY_COLUMNS, picture.recovery_cells(overview.get("recoveries", []))),
+        ("Events", picture.EVENT_COLUMNS, picture.event_cells(content.events[: c.REPORT_EVENTS], zone)),
+    ]
+    if money:
+        title = f"Money of the last {picture.span(money['over_s'])}"
+        found.insert(3, (title, picture.MONEY_COLUMNS, picture.money_cells(money)))
+    return [table for table in found if table[2]]
--- /dev/null
+++ b/pepperlatch/console/rows.py
@@ -0,0 +1,201 @@
+"""Rows of the view, how they are asked for, and in which order. Pure: nothing here knows a cluster or a clock."""
+
+import base64
+import binascii
+from bisect import bisect_right
+from collections.abc import Callable, Iterable
+from typing import Any
+from urllib.parse import parse_qsl, urlencode
+
+import msgspec
+import orjson
+
+from pepperlatch.constants import console as c
+from pepperlatch.policy.reasons import Why
+from pepperlatch.protocol.wire import RANK, JobState, Priority
+
+_SPELLED = {"job_class": "class"}
+
+
+class JobRow(msgspec.Struct, omit_defaults=True, rename=_SPELLED, gc=False):
+    """One job as both faces show it. Times of day in s; `until`: about when the reason may change."""
+
+    id: str
+    team: str
+    job_class: str
+    kind: str
+    priority: str
+    state: str
+    tasks: int
+    why: str
+    text: str
+    at: float
+    since: float
+    done: int = 0
+    running: int = 0
+    waiting: int = 0
+    until: float | None = None
+    due: float | None = None
+
+
+class BadQuery(ValueError):
+    """What is asked for cannot be given; the text names the field."""
+
+
+_CHOICES: dict[str, tuple[str, ...]] = {
+    "priority": tuple(p.value for p in Priority),
+    "state": (*(s.value for s in JobState), "unfinished"),
+    "why": tuple(w.value for w in Why),
+}
+OVER = frozenset((JobState.DONE.value, JobState.CANCELLED.value))
+_QUEUED = JobState.QUEUED.value
+_RANKS = {priority.value: rank for priority, rank in RANK.items()}
+_SORTS: dict[str, Callable[[JobRow], Any]] = {
+    "since": lambda row: row.since,
+    "submitted": lambda row: row.at,
+    "id": lambda row: row.id,
+    "team": lambda row: row.team,
+    "class": lambda row: row.job_class,
+    "priority": lambda row: _RANKS[row.priority] * 1e12 + row.since,
+    "waiting": lambda row: -row.waiting,
+    "due": lambda row: row.due if row.due is not None else 1e18,
+}
+_PLAIN = ("team", "class", "text")
+_NUMBERS = {"page": (1, c.PAGE_MOST), "most": (1000, 1_000_000)}
+
+
+class Query(msgspec.Struct, frozen=True):
+    """Which jobs, in which order. Empty fields ask for nothing in particular."""
+
+    team: str = ""
+    job_class: str = ""
+    priority: str = ""
+    state: str = ""
+    why: str = ""
+    text: str = ""
+    sort: str = "since"
+    page: int = c.PAGE
+    most: int = c.CHANGES_BYTES
+    after: str = ""
+
+    def takes(self, row: JobRow) -> bool:
+        if self.state == "unfinished":
+            if row.state in OVER:
+                return False
+            if self._any():
+                return True
+        wanted = self.text.lower()
+        return (
+            self.team in ("", row.team)
+            and self.job_class in ("", row.job_class)
+            and self.priority in ("", row.priority)
+            and self.state in ("", "unfinished", row.state)
+            and self.why in ("", row.why)
+            and (not wanted or wanted in row.id.lower() or wanted in row.text.lower())
+        )
+
+    def _any(self) -> bool:
+        return not (self.team or self.job_class or self.priority or self.why or self.text)
+
+    def key(self, row: JobRow) -> tuple[Any, str]:
+        return _SORTS[self.sort](row), row.id
+
+    def pairs(self) -> dict[str, Any]:
+        """What differs from the default, as a query string names it."""
+        plain = Query()
+        found = {name: getattr(self, name) for name in self.__struct_fields__}
+        return {_SPELLED.get(name, name): value for name, value in found.items() if value != getattr(plain, name)}
+
+    def path(self, path: str, **more: Any) -> str:
+        pairs = {**self.pairs(), **more}
+        return f"{path}?{urlencode(pairs)}" if pairs else path
+
+
+def plain(found: Iterable[JobRow]) -> list[Any]:
+    """As JSON takes them."""
+    return [msgspec.to_builtins(row) for row in found]
+
+
+def over(row: JobRow) -> bool:
+    return row.state in OVER
+
+
+def parse(text: str, known: Iterable[str] = ()) -> tuple[Query, dict[str, str]]:
+    """A query string; fields in `known` are handed back as they are. Raises BadQuery naming the field."""
+    fields: dict[str, Any] = {}
+    rest: dict[str, str] = {}
+    for name, value in parse_qsl(text, keep_blank_values=True):
+        if name in known:
+            rest[name] = value
+        elif name in _CHOICES:
+            fields[name] = _chosen(name, value, _CHOICES[name])
+        elif name == "sort":
+            fields[name] = _chosen(name, value, tuple(_SORTS))
+        elif name in _NUMBERS:
+            fields[name] = _number(name, value, *_NUMBERS[name])
+        elif name in _PLAIN or name == "after":
+            fields["job_class" if name == "class" else name] = value
+        else:
+            raise BadQuery(f"{name}: no such field")
+    return Query(**fields), rest
+
+
+def _chosen(name: str, value: str, among: tuple[str, ...]) -> str:
+    if value not in ("", *among):
+        raise BadQuery(f"{name}: must be one of {', '.join(among)}")
+    return value or ("since" if name == "sort" else "")
+
+
+def _number(name: str, value: str, least: int, most: int) -> int:
+    if not value.isdecimal() or not least <= int(value[:12]) <= most:
+        raise BadQuery(f"{name}: must be a number from {least} to {most}")
+    return int(value)
+
+
+def found(rows: Iterable[JobRow], query: Query) -> list[JobRow]:
+    """All rows that the query asks for, in its order."""
+    return sorted(filter(query.takes, rows), key=query.key)
+
+
+def page(found: list[JobRow], query: Query) -> tuple[list[JobRow], str]:
+    """One page of what was found, and what to ask the next with; "" after the last. Raises BadQuery."""
+    start = 0
+    if query.after:
+        try:
+            start = bisect_right(found, _cursor(query.after), key=query.key)
+        except TypeError:
+            raise BadQuery("after: of a page in another order") from None
+    shown = found[start : start + query.page]
+    if start + len(shown) >= len(found):
+        return shown, ""
+    return shown, base64.urlsafe_b64encode(orjson.dumps(query.key(shown[-1]))).decode("ascii")
+
+
+def _cursor(text: str) -> tuple[Any, str]:
+    try:
+        value, job_id = orjson.loads(base64.urlsafe_b64decode(text.encode("ascii")))
+    except (ValueError, TypeError, binascii.Error):
+        raise BadQuery("after: not what an earlier page named as its next") from None
+    if not isinstance(job_id, str) or not isinstance(value, int | float | str):
+        raise BadQuery("after: not what an earlier page named as its next")
+    return value, job_id
+
+
+def totals(rows: Iterable[JobRow]) -> dict[str, Any]:
+    """How many jobs there are of what, and of those that wait how many for what, since when."""
+    states: dict[str, int] = {}
+    waits: dict[str, list[Any]] = {}
+    for row in rows:
+        states[row.state] = states.get(row.state, 0) + 1
+        if row.waiting or row.state == _QUEUED:
+            held = waits.setdefault(row.why, [0, 0, row.since])
+            held[0] += 1
+            held[1] += row.waiting
+            held[2] = min(held[2], row.since)
+    return {
+        "states": states,
+        "waits": [
+            {"why": why, "jobs": jobs, "tasks": tasks, "since": since}
+            for why, (jobs, tasks, since) in sorted(waits.items(), key=lambda item: -item[1][0])
+        ],
+    }  # fmt: skip
--- /dev/null
+++ b/pepperlatch/console/terminal.py
@@ -0,0 +1,236 @@
+"""The console on a terminal: overview, jobs, one job's time line, machines, teams, events.
+
+The feed runs in a thread of its own; it hands over whole moments, and is told what to look at.
+"""
+
+from collections.abc import Callable, Sequence
+from datetime import tzinfo
+from typing import Any, ClassVar
+from urllib.parse import urlencode
+
+import msgspec
+from rich.text import Text
+from textual.app import App, ComposeResult
+from textual.binding import Binding, BindingType
+from textual.containers import Vertical
+from textual.widgets import DataTable, Footer, Input, Static, TabbedContent, TabPane
+
+from pepperlatch.console import picture
+from pepperlatch.console.feed import Shown, Wants
+from pepperlatch.console.rows import BadQuery, Query, parse
+from pepperlatch.constants import console as c
+
+NARROW = 110  # columns; below that a job's row has only what is needed most
+_VIEWS = ("overview", "jobs", "job", "machines", "teams", "events")
+
+
+def read_filter(text: str, page: int = c.PAGE_MOST) -> Query:
+    """`team:web-services priority:urgent why:team-limit words` as a query. Raises BadQuery naming the field."""
+    fields: dict[str, str] = {}
+    words = []
+    for word in text.split():
+        name, colon, value = word.partition(":")
+        if colon and name in ("team", "class", "priority", "state", "why"):
+            fields[name] = value
+        elif colon and name.isalpha():
+            raise BadQuery(f"{name}: no such field; team, class, priority, state, why, or words")
+        else:
+            words.append(word)
+    parsed, _ = parse(urlencode({"state": "unfinished", **fields, "text": " ".join(words)}))
+    return msgspec.structs.replace(parsed, page=page, most=c.CONSOLE_BYTES)
+
+
+class Table(DataTable[Text]):
+    """Rows are replaced whole; the cursor stays with its row."""
+
+    def fill(self, columns: Sequence[str], rows: Sequence[Sequence[str]]) -> None:
+        key = self.current()
+        if [str(column.label) for column in self.columns.values()] != list(columns):
+            self.clear(columns=True)
+            for column in columns:
+                self.add_column(column)
+        else:
+            self.clear()
+        for n, row in enumerate(rows):
+            self.add_row(*(Text(cell) for cell in row), key=f"{n}:{row[0]}")
+        if key and (at := next((n for n, row in enumerate(rows) if row[0] == key), None)) is not None:
+            self.move_cursor(row=at, animate=False)
+
+    def current(self) -> str:
+        """The first cell of the row under the cursor."""
+        if not self.row_count:
+            return ""
+        return str(self.get_row_at(self.cursor_row)[0])
+
+
+class ConsoleApp(App[None]):
+    """`want` tells the feed what to look at; `show` takes what it sees."""
+
+    CSS = """
+    Screen { overflow: hidden; }
+    #views { height: 1fr; }
+    #head { height: 1; }
+    #stale { height: auto; text-style: reverse; }
+    #words { height: auto; padding: 0 0 1 0; }
+    Table { height: 1fr; }
+    #filter { height: 3; }
+    """
+    TITLE = "pepperlatch"
+    ENABLE_COMMAND_PALETTE = False
+    BINDINGS: ClassVar[list[BindingType]] = [
+        *(Binding(str(n + 1), f"view('{view}')", view) for n, view in enumerate(_VIEWS)),
+        Binding("slash", "filter", "filter"),
+        Binding("escape", "leave", "back", show=False),
+        Binding("q", "quit", "quit"),
+    ]
+
+    def __init__(self, want: Callable[[Wants], None], zone: tzinfo | None = None, wants: Wants | None = None) -> None:
+        super().__init__()
+        self._want = want
+        self._zone = zone
+        self._wants = wants or Wants(read_filter(""))
+        self._last: Shown | None = None
+
+    def compose(self) -> ComposeResult:
+        yield Static("asking ...", id="head", markup=False)
+        yield Static("", id="stale", markup=False)
+        with TabbedContent(initial=self._wants.view, id="views"):
+            for view in _VIEWS:
+                with TabPane(view, id=view), Vertical():
+                    if view == "jobs":
+                        yield Input(placeholder="team:... class:... priority:... why:... or words", id="filter")
+                    yield Static("", id=f"words-{view}", markup=False)
+                    yield Table(id=f"table-{view}", cursor_type="row", zebra_stripes=True)
+        yield Footer()
+
+    # --- what the viewer does ---------------------------------------------------------------------
+
+    def action_view(self, view: str) -> None:
+        self.query_one("#views", TabbedContent).active = view
+        self._table(view).focus()  # a hidden one that keeps it would bring its own view back
+        self._look(view)
+
+    def action_filter(self) -> None:
+        self.action_view("jobs")
+        self.query_one("#filter", Input).focus()
+
+    def action_leave(self) -> None:
+        self.action_view("jobs" if self._wants.view == "job" else self._wants.view)
+        self._table("jobs").focus()
+
+    def on_tabbed_content_tab_activated(self, event: TabbedContent.TabActivated) -> None:
+        if event.pane.id and event.pane.id != self._wants.view:
+            self._look(event.pane.id)
+
+    def on_input_submitted(self, event: Input.Submitted) -> None:
+        try:
+            query = read_filter(event.value)
+        except BadQuery as error:
+            self.query_one("#words-jobs", Static).update(str(error))
+            return
+        self._wants = Wants(query, "jobs", self._wants.job)
+        self._want(self._wants)
+        self._table("jobs").focus()
+
+    def on_data_table_row_selected(self, event: DataTable.RowSelected) -> None:
+        table = event.data_table
+        if table.id == "table-jobs" and isinstance(table, Table) and (job := table.current()):
+            self._wants = Wants(self._wants.query, "job", job)
+            self.action_view("job")
+
+    def _look(self, view: str) -> None:
+        self._wants = Wants(self._wants.query, view, self._wants.job)
+        self._want(self._wants)
+        if self._last is not None:
+            self.show(self._last)
+
+    # --- what is shown ----------------------------------------------------------------------------
+
+    def _table(self, view: str) -> Table:
+        return self.query_one(f"#table-{view}", Table)
+
+    def show(self, shown: Shown) -> None:
+        """Called in the terminal's own thread."""
+        self._last = shown
+        self.query_one("#head", Static).update(_head(shown, self._zone))
+        self.query_one("#stale", Static).update(f"STALE: {shown.stale}" if shown.stale else "")
+        if shown.head:
+            words, columns, rows = self._content(shown)
+            self.query_one(f"#words-{self._wants.view}", Static).update(words)
+            self._table(self._wants.view).fill(columns, rows)
+
+    def _content(self, shown: Shown) -> tuple[str, Sequence[str], list[list[str]]]:
+        view, overview = self._wants.view, shown.overview
+        if view == "jobs":
+            return self._jobs(shown)
+        if view == "job":
+            return self._job(shown)
+        if view == "machines":
+            counts = picture.machine_counts(overview.get("machines", []))
+            words = ", ".join(f"{count} {state}" for state, count in counts.items())
+            return words, picture.MACHINE_COLUMNS, picture.machine_cells(shown.listed)
+        if view == "teams":
+            return "", picture.TEAM_COLUMNS, picture.team_cells(overview.get("teams", []))
+        if view == "events":
+            return "", picture.EVENT_COLUMNS, picture.event_cells(shown.listed, self._zone)
+        waits = picture.wait_cells(overview.get("waits", []), shown.now)
+        return picture.headline(overview), picture.WAIT_COLUMNS, waits
+
+    def _jobs(self, shown: Shown) -> tuple[str, Sequence[str], list[list[str]]]:
+        found = shown.rows[: c.ROWS_SHOWN]
+        more = len(shown.rows) - len(found)
+        words = f"{len(shown.rows)} jobs" + (f", the first {len(found)} shown: filter with /" if more else "")
+        if shown.behind:
+            words += "; more has changed than this link is sent, the rest follows"
+        rows = [picture.job_cells(row, shown.now) for row in found]
+        columns = picture.JOB_COLUMNS if self.size.width >= NARROW else picture.NARROW_COLUMNS
+        return words, columns, [row[: len(columns)] for row in rows]
+
+    def _job(self, shown: Shown) -> tuple[str, Sequence[str], list[list[str]]]:
+        if not self._wants.job:
+            return "choose a job with Enter in the list", picture.LINE_COLUMNS, []
+        lines = [f"{self._wants.job}: {shown.detail.get('state', '...')}"]
+        row = next((row for row in shown.rows if row.id == self._wants.job), None)
+        if row is not None:
+            lines.append(picture.reason_text(row, shown.now))
+            lines.append(f"this changes when: {shown.detail.get('changes_when', '')}")
+        lines.append(picture.order_text(shown.detail.get("order")))
+        line = shown.detail.get("line", [])[-c.LINES_SHOWN :]
+        cells = picture.line_cells(line, self._zone, shown.now)
+        return "\n".join(text for text in lines if text), picture.LINE_COLUMNS, cells
+
+
+def _head(shown: Shown, zone: tzinfo | None) -> str:
+    if not shown.head:
+        return "nobody has answered yet"
+    head = shown.head
+    at = picture.day_and_moment(head["at"], zone) if head.get("at") else ""
+    return f"{at}  {head.get('leader') or 'nobody'} leads, seen at {head.get('node')}"
+
+
+def run(feed_of: Callable[[Callable[[Shown], None]], Any], zone: tzinfo | None) -> None:
+    """Until the viewer quits. `feed_of` makes the feed that calls what it is given; it runs in a thread."""
+    import threading
+
+    import trio
+
+    token: list[Any] = []
+
+    def want(wants: Wants) -> None:
+        if token:
+            token[0].run_sync_soon(feed.want, wants)
+
+    app = ConsoleApp(want, zone)
+
+    def show(shown: Shown) -> None:
+        if app.is_running:
+            app.call_from_thread(app.show, shown)
+
+    feed = feed_of(show)
+
+    async def follow() -> None:
+        token.append(trio.lowlevel.current_trio_token())
+        await feed.run()
+
+    threading.Thread(target=lambda: trio.run(follow), daemon=True).start()
+    app.run()
--- a/pepperlatch/features.py
+++ b/pepperlatch/features.py
@@ -17,8 +17,28 @@
     repeats: list[str] = []
 
 
+class Public(msgspec.Struct, forbid_unknown_fields=True):
+    """For members. `listen`: address of a listener of its own, none if empty. `teams`: shown to all; empty: every team.
+
+    `names`: whether ids of jobs are shown, or words in their place that stand for the same job all along.
+    """
+
+    listen: str = ""
+    teams: list[str] = []
+    names: bool = False
+
+
+class Console(msgspec.Struct, forbid_unknown_fields=True):
+    """`metrics`: /metrics on the operators' listener; needs the group `metrics` of the optional libraries."""
+
+    on: bool = False
+    metrics: bool = False
+    public: Public = msgspec.field(default_factory=Public)
+
+
 class Features(msgspec.Struct, forbid_unknown_fields=True):
     pipelines: Pipelines = msgspec.field(default_factory=Pipelines)
+    console: Console = msgspec.field(default_factory=Console)
 
 
 def parse(text: str) -> Features:
--- /dev/null
+++ b/tests/console/helpers.py
@@ -0,0 +1,59 @@
+"""What the stories and measurements of the view share."""
+
+from typing import Any
+
+import trio
+
+from pepperlatch import features
+from pepperlatch.console.mirror import Mirror, Silent
+from pepperlatch.console.part import Console
+from pepperlatch.console.rows import Query
+from pepperlatch.constants import console as c
+from pepperlatch.controller.parts import Core
+from pepperlatch.protocol.http.client import Lost, NotSent
+from tests.fakes import Answer, World, job
+
+
+def part(core: Core) -> Console:
+    """The view takes no time by its own clock: stories on the virtual clock must not depend on the machine's."""
+    return Console(core, features.Console(on=True, metrics=True), lambda: 0.0)
+
+
+async def look(world: World, index: int, path: str) -> Answer:
+    """One request of an operator."""
+    return await world.send("admin", f"10.0.0.{index}:2", "GET", f"/console/{path}", None, 5.0)
+
+
+def mirror_of(world: World, query: Query | None = None) -> Mirror:
+    """A viewer that asks one node after the other, as the command line does."""
+    turn = 0
+
+    async def ask(method: str, path: str) -> Answer:
+        nonlocal turn
+        for _ in range(world.count):
+            index = sorted(world.nodes)[turn % len(world.nodes)]
+            try:
+                status, answer = await world.send("admin", f"10.0.0.{index}:2", method, path, None, 2.0)
+                if status not in (429, 503, 504):
+                    return status, answer
+            except (NotSent, Lost):
+                pass
+            turn += 1
+        raise Silent("no node answers")
+
+    return Mirror(ask, query or Query(state="unfinished", page=c.PAGE_MOST, most=c.CONSOLE_BYTES))
+
+
+def busy_day() -> list[dict[str, Any]]:
+    """More than the machines and the teams can run at once, of every kind."""
+    found = [job(number, pieces=6, expected_s=40.0) for number in range(8)]
+    found.append(job(20, crew="blue", shape="daemon", pieces=3))
+    found.append(job(21, crew="blue", pieces=9, expected_s=60.0))
+    found.append(job(22, shape="group", pieces=3, yard="a", bundle="other"))
+    found.append(job(23, prereqs=["run-000021"]))
+    return found
+
+
+async def next_leader(world: World) -> None:
+    await world.until(lambda: any(n.leader and n.leader.ready for n in world.nodes.values()), 30)
+    await trio.sleep(0.1)
--- /dev/null
+++ b/tests/console/test_faces.py
@@ -0,0 +1,277 @@
+"""The two faces: the same words from the same model, nothing of a user's taken for markup, readable at any size."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from html.parser import HTMLParser
+from pathlib import Path
+from typing import Any
+from zoneinfo import ZoneInfo
+
+import msgspec
+import pytest
+import trio
+
+from pepperlatch.command import cli
+from pepperlatch.console import picture, report
+from pepperlatch.console.feed import Feed, Shown, Wants
+from pepperlatch.console.mirror import Mirror
+from pepperlatch.console.public import Hidden
+from pepperlatch.console.rows import BadQuery, JobRow, Query
+from pepperlatch.console.terminal import ConsoleApp, Table, read_filter
+from pepperlatch.constants import console as c
+from tests.console.helpers import busy_day, mirror_of, part
+from tests.fakes import World, job, story
+
+ZONE = ZoneInfo("Asia/Amman")
+HOSTILE = '"><script>alert(1)</script>{{7*7}}'
+HEAD = {"node": "perch-1", "leader": "perch-0", "token": 7, "revision": 3, "at": 1e9, "age_s": 0.0, "version": "x"}
+
+
+class Page(HTMLParser):
+    """What a reader gets: tags as they open and close, texts of rows, scripts, anything that would be fetched."""
+
+    def __init__(self, text: str) -> None:
+        super().__init__()
+        self.open: list[str] = []
+        self.wrong: list[str] = []
+        self.scripts: list[str] = []
+        self.fetched: list[str] = []
+        self.rows: list[list[str]] = []
+        self.cells = 0
+        self.feed(text)
+        self.close()
+
+    def handle_starttag(self, tag: str, attrs: list[tuple[str, str | None]]) -> None:
+        self.fetched += [f"{tag} {name}" for name, _ in attrs if name in ("src", "href", "action", "data", "poster")]
+        self.wrong += [f"{tag} {name}" for name, _ in attrs if name.startswith("on")]
+        if tag == "tr":
+            self.rows.append([])
+        if tag == "td":
+            self.rows[-1].append("")
+        if tag not in ("meta", "input", "br"):
+            self.open.append(tag)
+
+    def handle_endtag(self, tag: str) -> None:
+        if not self.open or self.open.pop() != tag:
+            self.wrong.append(f"/{tag}")
+
+    def handle_data(self, data: str) -> None:
+        if self.open[-1:] == ["script"]:
+            self.scripts.append(data)
+        if self.open[-1:] == ["td"]:
+            self.rows[-1][-1] += data
+
+
+def row(number: int, **changes: Any) -> JobRow:
+    plain = {"team": "red", "job_class": "x", "kind": "sweep", "priority": "standard", "state": "queued", "tasks": 4}
+    said = {"why": "team-limit", "text": "team limit: red uses 32 of 32 CPUs", "at": 1e9 - 500, "since": 1e9 - 400}
+    return JobRow(f"run-{number:06d}", **{**plain, **said, "waiting": 4, **changes})
+
+
+def content(rows: list[JobRow]) -> report.Content:
+    waits = [{"why": "team-limit", "jobs": len(rows), "tasks": 4 * len(rows), "since": 1e9 - 400}]
+    return report.Content(HEAD, rows, {"states": {"queued": len(rows)}, "waits": waits})
+
+
+def played(tell: Callable[[World], Awaitable[None]]) -> None:
+    story(tell, parts=(part,))
+
+
+def test_console_page_and_plain_table_show_the_same_of_every_job() -> None:
+    found: dict[str, Any] = {}
+
+    async def tell(world: World) -> None:
+        for one in busy_day():
+            await world.submit(one)
+        await trio.sleep(20.0)
+        mirror = mirror_of(world)
+        found["shown"] = await Feed(mirror, Wants(mirror.query, "jobs"), lambda shown: None).look()
+        found["content"] = await report.gather(mirror)
+
+    played(tell)
+    shown, page = found["shown"], Page(report.render(found["content"], ZONE))
+    by_page = {cells[0]: cells for cells in page.rows if cells and cells[0].startswith("run-")}
+    by_console = {cells[0]: cells for cells in terminal_rows(shown, (140, 40))}
+    assert len(by_console) == len(shown.rows) >= 11
+    for each in shown.rows:
+        words = picture.reason_text(each, shown.now)
+        assert by_console[each.id][5] == words == picture.job_cells(each, shown.now)[5]
+        assert by_page[each.id][-1] == words and by_page[each.id][4] == each.state
+
+
+def terminal_rows(shown: Shown, size: tuple[int, int]) -> list[list[str]]:
+    """The cells of the list of jobs, as a terminal of that size has them."""
+
+    async def run() -> list[list[str]]:
+        app = ConsoleApp(lambda wants: None, ZONE, Wants(read_filter(""), "jobs"))
+        async with app.run_test(size=size) as pilot:
+            app.show(shown)
+            await pilot.pause()
+            table = app.query_one("#table-jobs", Table)
+            return [[str(cell) for cell in table.get_row_at(n)] for n in range(table.row_count)]
+
+    return asyncio.run(run())
+
+
+def shown_of(rows: list[JobRow], **more: Any) -> Shown:
+    overview = content(rows).overview
+    return Shown(1e9, HEAD, rows, overview, more.pop("stale", ""), False, **more)
+
+
+def test_hostile_names_are_text_on_both_faces() -> None:
+    bad = row(1, job_class=HOSTILE, team=HOSTILE, text=f"waits for {HOSTILE}")
+    text = report.render(content([bad, row(2)]), ZONE, title=HOSTILE)
+    page = Page(text)
+    assert len(page.scripts) == 1 and "alert" not in page.scripts[0]
+    assert page.wrong == [] and page.open == [] and page.fetched == []
+    assert [cells for cells in page.rows if HOSTILE in cells] and "{{7*7}}" in text
+    assert terminal_rows(shown_of([row(3, text="[bold]x[/bold]")]), (140, 24))[0][5] == "[bold]x[/bold]"
+
+
+def test_a_page_of_ten_thousand_jobs_is_small_whole_and_grouped() -> None:
+    whys = ("team-limit", "no-capacity", "booting")
+    rows = [row(n, why=whys[n % 3], job_class=f"class-{n % 7}") for n in range(10_000)]
+    text = report.render(content(rows), ZONE)
+    assert len(text.encode("utf-8")) < 5_000_000
+    page = Page(text)
+    assert sum(1 for cells in page.rows if cells and cells[0].startswith("run-")) == 10_000
+    assert text.count('<details class="group"') == 3 and page.wrong == [] and page.fetched == []
+    assert "viewport" in text and "prefers-color-scheme: dark" in text and "Asia/Amman (EEST)" in text
+
+
+def test_members_page_has_words_for_names_and_only_their_jobs() -> None:
+    rows = [row(1, text="waits for run-000002"), row(2, team="blue")]
+    text = report.render(report.for_members(content(rows), Hidden(False, ["red"], b"k" * 16)), ZONE)
+    assert "run-0" not in text and "blue" not in text
+    jobs = [cells for cells in Page(text).rows if cells and cells[0].startswith("job-")]
+    assert len(jobs) == 1 and jobs[0][-1].startswith("waits for job-")
+
+
+def test_the_console_works_at_80_by_24_without_colour(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("NO_COLOR", "1")
+    wanted: list[Wants] = []
+
+    async def run() -> None:
+        app = ConsoleApp(wanted.append, ZONE)
+        async with app.run_test(size=(80, 24)) as pilot:
+            await pilot.press("2")
+            rows = [row(n) for n in range(2 * c.ROWS_SHOWN)]
+            app.show(shown_of(rows, stale="perch-0 cannot be reached"))
+            await pilot.pause()
+            table = app.query_one("#table-jobs", Table)
+            assert table.row_count == c.ROWS_SHOWN
+            assert [str(column.label) for column in table.columns.values()] == list(picture.NARROW_COLUMNS)
+            assert "STALE: perch-0" in str(app.query_one("#stale").render())
+            table.move_cursor(row=5)
+            app.show(shown_of(rows[3:]))  # the cursor stays with its job
+            await pilot.pause()
+            assert table.current() == "run-000005"
+            await pilot.press("slash", *"team:red why:team-limit 12", "enter")
+            await pilot.pause()
+            assert wanted[-1].query == read_filter("team:red why:team-limit 12")
+            table.focus()
+            await pilot.press("enter")
+            await pilot.pause()
+            assert wanted[-1].view == "job" and wanted[-1].job == table.current()
+            line = [{"at": 1e9 - 400, "what": "reason", "text": "no room"}, {"at": 1e9 - 100, "what": "over"}]
+            app.show(shown_of(rows, detail={"line": line, "state": "queued", "changes_when": "soon", "order": None}))
+            await pilot.pause()
+            assert str(app.query_one("#table-job", Table).get_row_at(0)[1]) == "5 min"
+            for key in "1456":
+                await pilot.press(key)
+            assert wanted[-1].view == "events" and wanted[-1].query.team == "red"  # the filter is kept
+
+    asyncio.run(run())
+
+
+def test_a_filter_says_what_is_wrong_with_it() -> None:
+    assert read_filter("priority:urgent dust").text == "dust"
+    assert read_filter("").state == "unfinished"
+    with pytest.raises(BadQuery, match="colour: no such field"):
+        read_filter("colour:red")
+    with pytest.raises(BadQuery, match="why: must be one of"):
+        read_filter("why:luck")
+
+
+def test_words_for_spans_moments_and_order() -> None:
+    assert [picture.span(s) for s in (0, 59.4, 60, 125, 3600, 12_000, 200_000)] == [
+        "0 s", "59 s", "1 min", "2 min 5 s", "1 h", "3 h 20 min", "2 d 7 h",
+    ]  # fmt: skip
+    assert picture.day_and_moment(1e9, ZONE) == "2001-09-09 04:46:40 Asia/Amman (EEST)"
+    before = [{"id": "run-1", "team": "red", "priority": "urgent", "tasks": 3}]
+    order = {"place": 2, "of": 5, "before": before, "before_by_team": {"red": 1}, "within_guarantee": True}
+    assert picture.order_text(order) == (
+        "2 of 5 without a place; within its team's guarantee; before it: 1 of red; first run-1 (urgent, red)"
+    )
+    later = row(1, why="a-later-reason")
+    assert picture.groups([later])[0].changes_when == ""
+
+
+def test_the_command_line_prints_and_writes_what_the_service_shows(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str], tmp_path: Path
+) -> None:
+    from pepperlatch.command import console as face
+
+    answers: dict[str, Any] = {
+        "jobs": {**HEAD, "source": "leader", "jobs": [], "next": "", "pending": 0},
+        "overview": {**HEAD, "source": "leader", **content([row(1)]).overview, "teams": [], "machines": []},
+        "events": {"events": []},
+    }
+    answers["jobs"]["jobs"] = [{**msgspec.to_builtins(row(1)), "a_later_field": 1}]
+
+    def asking(talk: Any, timeout_s: float, say: Any) -> Any:
+        async def ask(method: str, path: str) -> tuple[int, Any]:
+            name = path.removeprefix("/console/").partition("?")[0]
+            return (200, answers[name]) if name in answers else (200, {"line": [], "state": "queued", "order": None})
+
+        return ask
+
+    monkeypatch.setattr(face, "_asking", asking)
+    node = ["--node", "127.0.0.1:1"]
+    assert cli.main(["console", *node, "--once", "team:red"]) == 0
+    printed = capsys.readouterr()
+    assert "run-000001" in printed.out and "team limit: red uses 32 of 32 CPUs" in printed.out
+    assert cli.main(["console", *node, "--once", "why:luck"]) == 2
+    assert cli.main(["console", *node, "--zone", "Nowhere/Town", "--once"]) == 2
+    assert cli.main(["report", *node, "-o", str(tmp_path / "r.html"), "--zone", "Asia/Amman"]) == 0
+    assert "run-000001" in (tmp_path / "r.html").read_text("utf-8")
+    assert cli.main(["report", *node, "-o", str(tmp_path / "m.html"), "--members", "--team", "blue"]) == 0
+    assert "run-" not in (tmp_path / "m.html").read_text("utf-8")
+    assert cli.main(["report", *node, "-o", str(tmp_path / "n.html"), "--names"]) == 2
+    assert [path.name for path in tmp_path.iterdir() if path.suffix != ".html"] == []
+
+
+def test_rows_of_a_version_that_cannot_be_read_are_refused_whole() -> None:
+    async def ask(method: str, path: str) -> tuple[int, Any]:
+        return 200, {**HEAD, "source": "leader", "jobs": [{"id": 7}], "next": ""}
+
+    async def main() -> None:
+        mirror = Mirror(ask, Query())
+        shown = await Feed(mirror, Wants(Query()), lambda shown: None).look()
+        assert "not known here" in shown.stale and mirror.rows == {}
+
+    trio.run(main)
+
+
+def test_thousands_wait_and_the_view_stays_small_and_current() -> None:
+    """5,000 jobs wait for the limit of a team; one that is urgent and new is on the first page of its priority."""
+
+    async def tell(world: World) -> None:
+        for number in range(0, 5000, 20):
+            await submitted(world, range(number, number + 20))
+        await world.submit(job(9_999, urgency="urgent", crew="blue"))
+        mirror = mirror_of(world, Query(state="unfinished", page=1000, most=c.CONSOLE_BYTES))
+        await mirror.complete()
+        await mirror.load()
+        assert len(mirror.rows) >= 4900
+        assert all(len(str(row.text)) < 200 for row in mirror.rows.values())
+        urgent = mirror_of(world, Query(state="unfinished", priority="urgent"))
+        await urgent.load()
+        assert [each.id for each in urgent.rows.values()] == ["run-009999"]
+
+    async def submitted(world: World, numbers: range) -> None:
+        async with trio.open_nursery() as nursery:
+            for number in numbers:
+                nursery.start_soon(world.submit, job(number, pieces=3, expected_s=300.0))
+
+    story(tell, parts=(part,), write_rps=2000.0)
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,48 @@
+"""Lines for programs, and a limit that says what it left out."""
+
+import io
+import logging
+
+import orjson
+
+from pepperlatch import logs
+from pepperlatch.constants import core as c
+
+
+def test_a_line_is_one_object_with_node_token_and_fields() -> None:
+    stream = io.StringIO()
+    kept = logging.root.handlers[:], logging.root.level
+    try:
+        context = logs.configure("perch-1", {"LOG_FORMAT": "json", "LOG_LEVEL": "info"}, stream)
+        log = logging.getLogger("pepperlatch.policy.cluster")
+        log.info("return %s: %s", 'n-1"\n', "idle", extra={"machine": 'n-1"\n'})
+        context.token = lambda: 41
+        try:
+            raise ValueError("a mistake")
+        except ValueError:
+            log.exception("it failed")
+        log.debug("not said")
+    finally:
+        logging.root.handlers[:], logging.root.level = kept
+    first, second = [orjson.loads(line) for line in stream.getvalue().splitlines()]
+    assert first["event"] == 'return n-1"\n: idle' and first["machine"] == 'n-1"\n' and "token" not in first
+    assert (first["node"], first["level"], first["logger"]) == ("perch-1", "info", "policy.cluster")
+    assert second["token"] == 41 and "ValueError: a mistake" in second["trace"]
+
+
+def test_a_flood_is_cut_and_counted_and_other_lines_pass() -> None:
+    now = 0.0
+    flood = logs.Flood(lambda: now)
+    template = "place %s"
+
+    def said(text: str = template, level: int = logging.INFO) -> logging.LogRecord | None:
+        record = logging.LogRecord("x", level, "f", 1, text, ("run-1/0",), None)
+        return record if flood.filter(record) else None
+
+    passed = sum(said() is not None for _ in range(int(c.LOG_BURST) + 500))
+    assert passed == c.LOG_BURST
+    assert said("end %s") is not None
+    assert said(level=logging.ERROR) is not None
+    now = 1.0
+    after = said()
+    assert after is not None and after.getMessage() == "place run-1/0 (500 alike left out before)"
