Console: traces of a sample of jobs, a feed that waits for its screen, marks on their own bars

Found by using it: on a real terminal the feed showed its first moment before there was a screen, raised in its thread, and the console stood still without a word. It begins with the screen now, and a feed that ends by a mistake ends the console. On the page every team's guarantee was drawn on the first team's bar. In 80 columns a reason had 24; it is shown whole below the list.

Traces: opentelemetry's SDK, imported if trace_share is above 0; the trace id follows from the job's id, so the sample is the same at every node; spans are made from the whole time line when the job is over, a line of the log each.

--- a/pepperlatch/console/part.py
+++ b/pepperlatch/console/part.py
@@ -44,7 +44,13 @@
     def listen(self, leader: "Leader") -> Listener:
         from pepperlatch.console.recorder import Recorder
 
-        recorder = Recorder(self._core.clock, self._core.wall, lambda job_id: leader.replica.jobs[job_id].record.at)
+        over = None
+        if self._wanted.trace_share > 0:
+            from pepperlatch.console.tracing import Traces
+
+            over = Traces(self._core.settings.node, self._wanted.trace_share).over
+        jobs = leader.replica.jobs
+        recorder = Recorder(self._core.clock, self._core.wall, lambda job_id: jobs[job_id].record.at, over)
         self._leads = (leader, recorder)
         if self._made is not None:
             self._made.lead(leader, recorder)
--- a/pepperlatch/console/picture.py
+++ b/pepperlatch/console/picture.py
@@ -11,9 +11,9 @@
 from pepperlatch.protocol.wire import RANK, Priority
 
 JOB_COLUMNS = (
-    "job", "priority", "state", "waiting", "for", "reason", "team", "class", "running", "done", "why"
+    "job", "priority", "waiting", "for", "reason", "state", "team", "class", "running", "done", "why"
 )  # fmt: skip
-NARROW_COLUMNS = JOB_COLUMNS[:6]
+NARROW_COLUMNS = JOB_COLUMNS[:5]
 MACHINE_COLUMNS = ("machine", "type", "zone", "kind", "state", "why", "tasks", "used", "silent")
 TEAM_COLUMNS = ("team", "CPUs used", "guaranteed", "limit", "GPUs used", "guaranteed", "limit", "not seen yet")
 EVENT_COLUMNS = ("at", "what", "machine", "text")
@@ -71,7 +71,7 @@
 
 def job_cells(row: JobRow, now: float) -> list[str]:
     return [
-        row.id, row.priority, row.state, str(row.waiting), span(now - row.since), reason_text(row, now), row.team,
+        row.id, row.priority, str(row.waiting), span(now - row.since), reason_text(row, now), row.state, row.team,
         row.job_class, str(row.running), str(row.done), row.why,
     ]  # fmt: skip
 
--- a/pepperlatch/console/recorder.py
+++ b/pepperlatch/console/recorder.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from pepperlatch.console.accounts import Money, Recoveries
-from pepperlatch.console.history import History, What
+from pepperlatch.console.history import Event, History, What
 from pepperlatch.constants import console as c
 from pepperlatch.policy.model import Attempt, Job, Machine
 from pepperlatch.protocol import wire
@@ -26,10 +26,15 @@
 class Recorder:
     """All methods of `policy.events.Listener`, told in the owner. Quick: each costs some microseconds."""
 
-    def __init__(self, clock: Clock, wall: Clock, accepted_at: Callable[[str], float]) -> None:
+    def __init__(
+        self, clock: Clock, wall: Clock, accepted_at: Callable[[str], float],
+        over: Callable[[str, list[Event]], None] | None = None,
+    ) -> None:  # fmt: skip
+        """`over` is handed the line of each job that ends."""
         now = clock()
         self._clock, self._wall = clock, wall
         self._accepted_at = accepted_at
+        self._over = over
         self.began = wall()  # time of day
         self.history = History(float(int(self.began - c.BEFORE_S)))
         self.money = Money(now, now)
@@ -71,6 +76,8 @@
         if what in (state.value for state in wire.FINAL):
             self.recoveries.over(job_id)
             self._record(job_id, What.OVER, now, what)
+            if self._over is not None:
+                self._over(job_id, self.history.line(job_id))
             return
         if job_id not in self.history:
             self.history.add(job_id, What.ACCEPTED, self._accepted_at(job_id))
--- a/pepperlatch/console/report.py
+++ b/pepperlatch/console/report.py
@@ -17,6 +17,7 @@
 from pepperlatch.console.public import Hidden
 from pepperlatch.console.rows import JobRow
 from pepperlatch.constants import console as c
+from pepperlatch.policy.reasons import counted
 
 TEMPLATES = Path(__file__).parent / "templates"
 
@@ -74,7 +75,10 @@
 def wait_bars(groups: Sequence[Group]) -> list[Bar]:
     waiting = [group for group in groups if group.tasks]
     most = max((group.tasks for group in waiting), default=1)
-    return [Bar(group.why, f"{group.tasks} tasks of {len(group.rows)} jobs", group.tasks / most) for group in waiting]
+    return [
+        Bar(group.why, f"{counted(group.tasks, 'task')} of {counted(len(group.rows), 'job')}", group.tasks / most)
+        for group in waiting
+    ]
 
 
 def team_bars(teams: Iterable[dict[str, Any]]) -> list[Bar]:
--- a/pepperlatch/console/terminal.py
+++ b/pepperlatch/console/terminal.py
@@ -3,12 +3,14 @@
 The feed runs in a thread of its own; it hands over whole moments, and is told what to look at.
 """
 
+import threading
 from collections.abc import Callable, Sequence
 from datetime import tzinfo
 from typing import Any, ClassVar
 from urllib.parse import urlencode
 
 import msgspec
+import trio
 from rich.text import Text
 from textual.app import App, ComposeResult
 from textual.binding import Binding, BindingType
@@ -16,10 +18,11 @@
 from textual.widgets import DataTable, Footer, Input, Static, TabbedContent, TabPane
 
 from pepperlatch.console import picture
-from pepperlatch.console.feed import Shown, Wants
+from pepperlatch.console.feed import Feed, Shown, Wants
 from pepperlatch.console.rows import BadQuery, Query, parse
 from pepperlatch.constants import console as c
 
+FeedOf = Callable[[Callable[[Shown], None]], Feed]
 NARROW = 110  # columns; below that a job's row has only what is needed most
 _VIEWS = ("overview", "jobs", "job", "machines", "teams", "events")
 
@@ -101,6 +104,8 @@
                         yield Input(placeholder="team:... class:... priority:... why:... or words", id="filter")
                     yield Static("", id=f"words-{view}", markup=False)
                     yield Table(id=f"table-{view}", cursor_type="row", zebra_stripes=True)
+                    if view == "jobs":
+                        yield Static("", id="whole", markup=False)  # a reason is longer than a narrow column
         yield Footer()
 
     # --- what the viewer does ---------------------------------------------------------------------
@@ -132,6 +137,12 @@
         self._want(self._wants)
         self._table("jobs").focus()
 
+    def on_data_table_row_highlighted(self, event: DataTable.RowHighlighted) -> None:
+        if event.data_table.id == "table-jobs" and self._last is not None:
+            job = self._table("jobs").current()
+            row = next((row for row in self._last.rows if row.id == job), None)
+            self.query_one("#whole", Static).update(picture.reason_text(row, self._last.now) if row else "")
+
     def on_data_table_row_selected(self, event: DataTable.RowSelected) -> None:
         table = event.data_table
         if table.id == "table-jobs" and isinstance(table, Table) and (job := table.current()):
@@ -208,29 +219,50 @@
     return f"{at}  {head.get('leader') or 'nobody'} leads, seen at {head.get('node')}"
 
 
-def run(feed_of: Callable[[Callable[[Shown], None]], Any], zone: tzinfo | None) -> None:
-    """Until the viewer quits. `feed_of` makes the feed that calls what it is given; it runs in a thread."""
-    import threading
+class Live(ConsoleApp):
+    """The console with its feed, which begins once there is something to show it on, in a thread of its own.
+
+    If the feed ends by a mistake, so does the console; `failed` says of what.
+    """
+
+    def __init__(self, feed_of: FeedOf, zone: tzinfo | None, wants: Wants | None = None) -> None:
+        super().__init__(self._tell, zone, wants)
+        self._feed = feed_of(self._take)
+        self._token: Any = None
+        self._over = False
+        self.failed: BaseException | None = None
 
-    import trio
+    def on_mount(self) -> None:
+        threading.Thread(target=self._follow, daemon=True).start()
 
-    token: list[Any] = []
+    def on_unmount(self) -> None:
+        self._over = True
 
-    def want(wants: Wants) -> None:
-        if token:
-            token[0].run_sync_soon(feed.want, wants)
+    def _tell(self, wants: Wants) -> None:
+        if self._token is not None and self.failed is None:
+            self._token.run_sync_soon(self._feed.want, wants)
 
-    app = ConsoleApp(want, zone)
+    def _take(self, shown: Shown) -> None:
+        """In the feed's thread. Seen: called before the screen was there, it ended the feed without a word."""
+        if not self._over:
+            self.call_from_thread(self.show, shown)
 
-    def show(shown: Shown) -> None:
-        if app.is_running:
-            app.call_from_thread(app.show, shown)
+    def _follow(self) -> None:
+        async def main() -> None:
+            self._token = trio.lowlevel.current_trio_token()
+            await self._feed.run()
 
-    feed = feed_of(show)
+        try:
+            trio.run(main)
+        except BaseException as error:
+            self.failed = error
+            if not self._over:
+                self.call_from_thread(self.exit)
 
-    async def follow() -> None:
-        token.append(trio.lowlevel.current_trio_token())
-        await feed.run()
 
-    threading.Thread(target=lambda: trio.run(follow), daemon=True).start()
+def run(feed_of: FeedOf, zone: tzinfo | None) -> None:
+    """Until the viewer quits. `feed_of` makes the feed that calls what it is given."""
+    app = Live(feed_of, zone)
     app.run()
+    if app.failed is not None and not isinstance(app.failed, RuntimeError):
+        raise app.failed
--- a/pepperlatch/features.py
+++ b/pepperlatch/features.py
@@ -2,6 +2,7 @@
 
 import tomllib
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
@@ -29,10 +30,14 @@
 
 
 class Console(msgspec.Struct, forbid_unknown_fields=True):
-    """`metrics`: /metrics on the operators' listener; needs the group `metrics` of the optional libraries."""
+    """`metrics`: /metrics on the operators' listener; needs the group `metrics` of the optional libraries.
+
+    `trace_share`: of the jobs, whose spans go into the log; needs the group `tracing` unless it is 0.
+    """
 
     on: bool = False
     metrics: bool = False
+    trace_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     public: Public = msgspec.field(default_factory=Public)
 
 
--- a/pepperlatch/policy/reasons.py
+++ b/pepperlatch/policy/reasons.py
@@ -89,12 +89,12 @@
         return _TEXTS[self.kind](self)
 
 
-def _counted(count: int, thing: str) -> str:
+def counted(count: int, thing: str) -> str:
     return f"{count} {thing}" if count == 1 else f"{count} {thing}s"
 
 
 def _tasks(r: Reason) -> str:
-    return _counted(r.tasks, "task") + (f" of {r.each}" if r.each else "")
+    return counted(r.tasks, "task") + (f" of {r.each}" if r.each else "")
 
 
 def named(job_ids: Sequence[str]) -> str:
@@ -112,15 +112,15 @@
     Why.NEEDS: lambda r: "waits for " + named(r.names),
     Why.GONE: lambda r: f"{r.names[0]}, which it needs, was cancelled",
     Why.REBUILDING: lambda r: (
-        f"controllers are rebuilding their picture: {r.machines} of {_counted(r.among, 'machine')} not accounted for"
+        f"controllers are rebuilding their picture: {r.machines} of {counted(r.among, 'machine')} not accounted for"
     ),
-    Why.PAUSING: lambda r: f"failed before on {_counted(r.machines, 'machine')}, pausing",
+    Why.PAUSING: lambda r: f"failed before on {counted(r.machines, 'machine')}, pausing",
     Why.REFUSED: lambda r: "a worker refused to start it, pausing",
     Why.LIMIT: _limit,
-    Why.LEAVING: lambda r: f"{_counted(r.tasks, 'task')} of its earlier attempt must be gone first",
+    Why.LEAVING: lambda r: f"{counted(r.tasks, 'task')} of its earlier attempt must be gone first",
     Why.NO_ROOM: lambda r: f"no machine has room for {_tasks(r)}",
     Why.FINISHING: lambda r: f"{_tasks(r)} wait for places that running tasks will leave",
-    Why.BOOTING: lambda r: f"{_counted(r.machines, 'machine')} booting, with room for {_tasks(r)}",
+    Why.BOOTING: lambda r: f"{counted(r.machines, 'machine')} booting, with room for {_tasks(r)}",
     Why.ASKED: lambda r: f"the cloud is asked for machines for {_tasks(r)}",
     Why.CAPACITY: lambda r: f"no capacity in the allowed zones for {_tasks(r)} ({r.where})",
     Why.DARK: lambda r: f"cut off: {r.where}, where alone {_tasks(r)} could run",
--- a/tests/console/measure.py
+++ b/tests/console/measure.py
@@ -17,7 +17,7 @@
 import tests.fakes as fakes
 from pepperlatch import features
 from pepperlatch.console import report
-from pepperlatch.console.feed import Feed, Shown, Wants
+from pepperlatch.console.feed import Feed, Wants
 from pepperlatch.console.mirror import Mirror, Silent
 from pepperlatch.console.part import Console
 from pepperlatch.console.rows import Query
@@ -28,7 +28,7 @@
 from pepperlatch.protocol.http.server import Server
 
 HOST, PORT = "127.0.0.1", 18981
-SETTLE_S, LOOK_S = 40.0, 60.0
+SETTLE_S, LOOK_S, VIEWERS = 40.0, 30.0, 50
 made: list[Console] = []
 
 
@@ -94,17 +94,14 @@
         up = sum(worker.up for worker in world.workers)
         print(f"{jobs} jobs of 3 tasks, {up} machines up, history {made[0]._leads[1].history.size() / 1e6:.2f} MB")
         costs = timed(made[0])
-        before_mb = resident_mb()
-        network, mirror = viewer()
-        at = time.perf_counter()
-        await mirror.complete()
-        await mirror.load()
-        print(f"snapshot: {len(mirror.rows)} jobs, {network.received / 1000:.0f} KB sent,", end=" ")
-        print(f"{sum(costs):.3f} s of the leader,", end=" ")
-        print(f"{time.perf_counter() - at:.2f} s in all, the process {resident_mb() - before_mb:+.1f} MB")
-        await console(network, mirror, costs, LOOK_S)
-        await crowd(costs)
-        await page(mirror)
+        for phase in PHASES:
+            costs.clear()
+            began, before_mb = trio.current_time(), resident_mb()
+            await trio.run_process([sys.executable, "-m", "tests.console.measure", phase])
+            took = trio.current_time() - began
+            print(f"    the leader: {sum(costs):.3f} s, {sum(costs) / took:.4f} of a core,", end=" ")
+            print(f"{statistics.median(costs) * 1000:.1f} ms an answer in the median,", end=" ")
+            print(f"{max(costs) * 1000:.1f} ms at the most; {resident_mb() - before_mb:+.1f} MB", flush=True)
         nursery.cancel_scope.cancel()
 
 
@@ -124,53 +121,64 @@
     return costs
 
 
-async def console(network: HttpNetwork, mirror: Mirror, costs: list[float], seconds: float) -> None:
-    costs.clear()
-    began, received = trio.current_time(), network.received
+# --- viewers, each phase in a process of its own ----------------------------------------------------
+
+
+async def snapshot() -> None:
+    network, mirror = viewer()
+    at = trio.current_time()
+    await mirror.complete()
+    await mirror.load()
+    print(f"snapshot: {len(mirror.rows)} jobs, {network.received / 1000:.0f} KB sent, {trio.current_time() - at:.1f} s")
+
+
+async def console() -> None:
+    network, mirror = viewer()
+    await mirror.load()
+    received = network.received
     feed = Feed(mirror, Wants(mirror.query), lambda shown: None)
-    behind = tries = 0
-    with trio.move_on_after(seconds):
-        while True:
-            shown: Shown = await feed.look()
-            tries, behind = tries + 1, behind + shown.behind
-            await trio.sleep(c.POLL_S)
-    took = trio.current_time() - began
-    print(f"one console for {took:.0f} s: {(network.received - received) / took:.0f} bytes/s,", end=" ")
-    print(f"{statistics.median(costs) * 1000:.1f} ms of the leader an answer in the median,", end=" ")
-    print(f"{max(costs) * 1000:.1f} ms at the most, {sum(costs) / took:.4f} of a core;", end=" ")
-    print(f"behind in {behind} of {tries} answers")
+    behind, stale, tries = await looked(feed, LOOK_S)
+    print(f"one console for {LOOK_S:.0f} s: {(network.received - received) / LOOK_S:.0f} bytes/s,", end=" ")
+    print(f"behind in {behind} and stale in {stale} of {tries} looks")
 
 
-async def crowd(costs: list[float]) -> None:
-    costs.clear()
-    served: list[int] = []
+async def crowd() -> None:
+    found: list[tuple[int, int, int]] = []
 
-    async def one() -> None:
+    async def one(after: float) -> None:
+        await trio.sleep(after)
         mirror = viewer()[1]
-        feed = Feed(mirror, Wants(mirror.query), lambda shown: None)
-        with trio.move_on_after(20.0):
-            while True:
-                shown = await feed.look()
-                served.append(not shown.stale)
-                await trio.sleep(c.POLL_S)
-
-    began = trio.current_time()
+        found.append(await looked(Feed(mirror, Wants(mirror.query), lambda shown: None), LOOK_S))
+
     async with trio.open_nursery() as nursery:
-        for _ in range(50):
-            nursery.start_soon(one)
-    took = trio.current_time() - began
-    print(
-        f"50 consoles for {took:.0f} s: {sum(costs) / took:.4f} of a core, {sum(served)} of {len(served)} looks current"
-    )
+        for number in range(VIEWERS):
+            nursery.start_soon(one, number / 10)
+    _, stale, tries = (sum(numbers) for numbers in zip(*found, strict=True))
+    print(f"{VIEWERS} consoles for {LOOK_S:.0f} s: stale in {stale} of {tries} looks")
 
 
-async def page(mirror: Mirror) -> None:
-    content = await report.gather(mirror)
+async def looked(feed: Feed, seconds: float) -> tuple[int, int, int]:
+    behind = stale = tries = 0
+    with trio.move_on_after(seconds):
+        while True:
+            shown = await feed.look()
+            tries, behind, stale = tries + 1, behind + shown.behind, stale + bool(shown.stale)
+            await trio.sleep(c.POLL_S)
+    return behind, stale, tries
+
+
+async def page() -> None:
+    content = await report.gather(viewer()[1])
     began = time.process_time()
     text = report.render(content, None)
     print(f"report: {len(content.rows)} jobs, {len(text.encode()) / 1e6:.2f} MB, {time.process_time() - began:.2f} s")
 
 
+PHASES = {"snapshot": snapshot, "console": console, "crowd": crowd, "page": page}
+
 if __name__ == "__main__":
-    numbers = [int(word) for word in sys.argv[1:]]
-    trio.run(main, numbers[0] if numbers else 5000, numbers[1] if len(numbers) > 1 else 600)
+    if len(sys.argv) == 2 and sys.argv[1] in PHASES:
+        trio.run(PHASES[sys.argv[1]])
+    else:
+        numbers = [int(word) for word in sys.argv[1:]]
+        trio.run(main, numbers[0] if numbers else 5000, numbers[1] if len(numbers) > 1 else 600)
--- a/tests/console/test_faces.py
+++ b/tests/console/test_faces.py
@@ -1,6 +1,7 @@
 """The two faces: the same words from the same model, nothing of a user's taken for markup, readable at any size."""
 
 import asyncio
+import re
 from collections.abc import Awaitable, Callable
 from html.parser import HTMLParser
 from pathlib import Path
@@ -17,7 +18,7 @@
 from pepperlatch.console.mirror import Mirror
 from pepperlatch.console.public import Hidden
 from pepperlatch.console.rows import BadQuery, JobRow, Query
-from pepperlatch.console.terminal import ConsoleApp, Table, read_filter
+from pepperlatch.console.terminal import ConsoleApp, Live, Table, read_filter
 from pepperlatch.constants import console as c
 from tests.console.helpers import busy_day, mirror_of, part
 from tests.fakes import World, job, story
@@ -95,7 +96,7 @@
     assert len(by_console) == len(shown.rows) >= 11
     for each in shown.rows:
         words = picture.reason_text(each, shown.now)
-        assert by_console[each.id][5] == words == picture.job_cells(each, shown.now)[5]
+        assert by_console[each.id][4] == words == picture.job_cells(each, shown.now)[4]
         assert by_page[each.id][-1] == words and by_page[each.id][4] == each.state
 
 
@@ -125,7 +126,7 @@
     assert len(page.scripts) == 1 and "alert" not in page.scripts[0]
     assert page.wrong == [] and page.open == [] and page.fetched == []
     assert [cells for cells in page.rows if HOSTILE in cells] and "{{7*7}}" in text
-    assert terminal_rows(shown_of([row(3, text="[bold]x[/bold]")]), (140, 24))[0][5] == "[bold]x[/bold]"
+    assert terminal_rows(shown_of([row(3, text="[bold]x[/bold]")]), (140, 24))[0][4] == "[bold]x[/bold]"
 
 
 def test_a_page_of_ten_thousand_jobs_is_small_whole_and_grouped() -> None:
@@ -139,6 +140,18 @@
     assert "viewport" in text and "prefers-color-scheme: dark" in text and "Asia/Amman (EEST)" in text
 
 
+def test_each_bar_has_its_marks_on_it() -> None:
+    """Seen: every team's guarantee was drawn on the first team's bar."""
+    names = ("cpus", "cpus_guaranteed", "cpus_limit", "gpus", "gpus_guaranteed", "gpus_limit", "cpus_unseen")
+    teams = [{"name": name, **dict.fromkeys(names, 8.0)} for name in ("red", "blue")]
+    shown = content([row(1)])
+    shown.overview["teams"] = teams
+    text = report.render(shown, ZONE)
+    tops = [int(top) for top in re.findall(r'<line [^>]*y1="(\d+)"', text)]
+    assert len(tops) == 2 and tops[1] - tops[0] == 44
+    assert "4 tasks of 1 job<" in text
+
+
 def test_members_page_has_words_for_names_and_only_their_jobs() -> None:
     rows = [row(1, text="waits for run-000002"), row(2, team="blue")]
     text = report.render(report.for_members(content(rows), Hidden(False, ["red"], b"k" * 16)), ZONE)
@@ -166,6 +179,7 @@
             app.show(shown_of(rows[3:]))  # the cursor stays with its job
             await pilot.pause()
             assert table.current() == "run-000005"
+            assert str(app.query_one("#whole").render()) == "team limit: red uses 32 of 32 CPUs"
             await pilot.press("slash", *"team:red why:team-limit 12", "enter")
             await pilot.pause()
             assert wanted[-1].query == read_filter("team:red why:team-limit 12")
@@ -184,6 +198,39 @@
     asyncio.run(run())
 
 
+def test_the_console_and_its_feed_run_in_threads_of_their_own() -> None:
+    """Seen: the feed showed its first moment before there was a screen, and ended; the console stood still."""
+    asked: list[str] = []
+
+    async def ask(method: str, path: str) -> tuple[int, Any]:
+        asked.append(path)
+        if path.startswith("/console/overview"):
+            return 200, {**HEAD, "source": "leader", **content([row(1)]).overview}
+        if path.startswith("/console/jobs/"):
+            return 200, {"line": [{"at": 1e9 - 9, "what": "accepted"}], "state": "queued", "order": None}
+        if path.startswith("/console/changes"):
+            return 200, {**HEAD, "source": "leader", "jobs": [], "gone": [], "upto": 3, "more": False}
+        return 200, {**HEAD, "source": "leader", "jobs": [msgspec.to_builtins(row(1))], "next": ""}
+
+    async def until(condition: Callable[[], bool]) -> None:
+        async with asyncio.timeout(20):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def run() -> None:
+        app = Live(lambda show: Feed(Mirror(ask, read_filter("")), Wants(read_filter("")), show), ZONE)
+        async with app.run_test(size=(100, 30)) as pilot:
+            await until(lambda: bool(app.query_one("#table-overview", Table).row_count))
+            await pilot.press("2")
+            await until(lambda: app.query_one("#table-jobs", Table).current() == "run-000001")
+            await pilot.press("enter")
+            await until(lambda: app.query_one("#table-job", Table).row_count == 1)
+        assert app.failed is None
+
+    asyncio.run(run())
+    assert any(path.startswith("/console/jobs/run-000001") for path in asked)
+
+
 def test_a_filter_says_what_is_wrong_with_it() -> None:
     assert read_filter("priority:urgent dust").text == "dust"
     assert read_filter("").state == "unfinished"
--- a/tests/console/test_history.py
+++ b/tests/console/test_history.py
@@ -1,14 +1,16 @@
 """Time lines: bounded, honest about what they left out, and readable by the next leader."""
 
 import tracemalloc
+import zlib
 from itertools import pairwise
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as some
 
 from pepperlatch.console.accounts import BOOT, FREE, IDLE, Money, Recoveries
-from pepperlatch.console.history import Event, Foreign, History, What
+from pepperlatch.console.history import Event, Foreign, History, Saved, What
 from pepperlatch.constants import console as c
 from pepperlatch.policy.cluster import Cluster
 from pepperlatch.policy.model import Machine, Status
@@ -103,7 +105,9 @@
     whole = History(BASE)
     day(whole, 5)
     packed = whole.pack(BASE + 60, 10_000, [])
-    for damaged in (b"", b"nonsense", packed[: len(packed) // 2], packed[:20] + b"\0" + packed[21:]):
+    later = Saved(2, BASE, BASE, [""], [""], {})
+    other = zlib.compress(msgspec.msgpack.encode(later))
+    for damaged in (other, b"", b"nonsense", packed[: len(packed) // 2], packed[:20] + b"\0" + packed[21:]):
         with pytest.raises(Foreign):
             history.take_over(damaged, BASE + 60)
         assert history.line("run-1") == before == [Event(BASE + 1, "ready")]
--- a/tests/console/test_view.py
+++ b/tests/console/test_view.py
@@ -2,16 +2,19 @@
 
 from typing import Any
 
+import orjson
 import pytest
 import trio
 
 from pepperlatch import features
+from pepperlatch.console.history import Event
 from pepperlatch.console.mirror import Refused, Silent
 from pepperlatch.console.model import Model
 from pepperlatch.console.part import Console
 from pepperlatch.console.public import Hidden, Public
 from pepperlatch.console.rows import BadQuery, JobRow, Query, parse
-from pepperlatch.console.saving import PREFIX
+from pepperlatch.console.saving import PREFIX, Piece, _whole
+from pepperlatch.console.tracing import Traces
 from pepperlatch.constants import console as c
 from pepperlatch.controller.leader import Leader
 from pepperlatch.controller.parts import Core
@@ -229,6 +232,50 @@
     story(tell, parts=(part,))
 
 
+def test_what_an_earlier_leader_saved_late_does_not_count() -> None:
+    async def tell(world: World) -> None:
+        await world.submit(job(1, expected_s=400.0))
+        old, serve = world.leader(), world.state.serve
+        held: list[Any] = []
+
+        async def holding(source: str, method: str, path: str, body: Any) -> Any:
+            if source == NODES[old] and path == "/txn" and PREFIX in str(body):
+                held.append(body)
+                await trio.sleep_forever()
+            return await serve(source, method, path, body)
+
+        world.state.serve = holding  # type: ignore[method-assign]
+        await world.until(lambda: bool(held), 60)
+        world.kill(old)
+        await next_leader(world)
+        await trio.sleep(c.SAVE_EVERY_S + 8)
+        saved = {key: value for key, value in world.state.keys.items() if key.startswith(PREFIX)}
+        assert saved and (await serve("late", "POST", "/txn", held[0]))[0] == 409
+        assert saved == {key: value for key, value in world.state.keys.items() if key.startswith(PREFIX)}
+
+    story(tell, parts=(part,))
+    mixed = {0: Piece(1, 2, 2, "aaaa"), 1: Piece(1, 1, 2, "bbbb")}
+    assert _whole(0, mixed) is None and _whole(0, {**mixed, 1: Piece(1, 2, 2, "bbbb")}) is not None
+
+
+def test_a_revision_is_given_whole_however_small_the_answer() -> None:
+    async def tell(world: World) -> None:
+        mirror = mirror_of(world, Query(state="unfinished", most=1000))
+        await mirror.load()
+        for one in busy_day():
+            await world.submit(one)
+        await trio.sleep(0.6)
+        while True:
+            await mirror.step()
+            if not mirror.behind:
+                break
+        fresh = mirror_of(world)
+        await fresh.load()
+        assert set(mirror.rows) == set(fresh.rows) and len(fresh.rows) == 12
+
+    story(tell, parts=(part,))
+
+
 def test_viewers_give_way_and_share_what_was_made() -> None:
     """A view that costs more than its share is answered with an old answer, then with when to come back."""
     used = [0.0]
@@ -322,6 +369,39 @@
     story(tell, parts=(part,))
 
 
+def test_a_trace_is_the_time_line_of_one_job_though_its_leader_died(caplog: pytest.LogCaptureFixture) -> None:
+    def traced(core: Core) -> Console:
+        return Console(core, features.Console(on=True, trace_share=1.0), lambda: 0.0)
+
+    async def tell(world: World) -> None:
+        await world.submit(job(1, expected_s=50.0))
+        await trio.sleep(c.SAVE_EVERY_S + 8)
+        world.kill(world.leader())
+        await world.until(lambda: world.state.job_state("run-000001") == "done", 90)
+        await trio.sleep(1.0)
+
+    story(tell, parts=(traced,))
+    lines = [record.getMessage() for record in caplog.records if record.name == "pepperlatch.trace"]
+    spans = [orjson.loads(line) for line in lines]
+    root = next(span for span in spans if span["name"] == "job")
+    assert {span["context"]["trace_id"] for span in spans} == {root["context"]["trace_id"]}
+    assert all(span["parent_id"] == root["context"]["span_id"] for span in spans if span is not root)
+    assert {"reason", "gap"} <= {span["name"] for span in spans}
+    assert [event["name"] for event in root["events"]][-1] == "over" and root["attributes"]["job"] == "run-000001"
+
+
+def test_the_sample_is_the_same_at_every_node(caplog: pytest.LogCaptureFixture) -> None:
+    line = [Event(1e9, "accepted"), Event(1e9 + 5, "over", "done")]
+    found = []
+    for node in ("perch-0", "perch-1"):
+        caplog.clear()
+        traces = Traces(node, 0.25)
+        for number in range(400):
+            traces.over(f"run-{number}", line)
+        found.append([orjson.loads(record.getMessage())["attributes"]["job"] for record in caplog.records])
+    assert found[0] == found[1] and 60 <= len(found[0]) <= 140
+
+
 def test_a_wrong_question_names_its_field() -> None:
     for text, field in (
         ("priority=loud", "priority: must be one of production"), ("page=0", "page: must be a number from 1"),
@@ -339,7 +419,9 @@
         assert status == 400 and answer["field"] == "after"
         assert (await look(world, index, "jobs/run-nobody"))[0] == 404
         assert (await look(world, index, "changes?since=3"))[0] == 400
-        assert (await look(world, index, "changes?since=3&token=1"))[0] == 410
+        head = (await look(world, index, "jobs"))[1]
+        assert (await look(world, index, f"changes?since={head['revision']}&token={head['token']}"))[0] == 200
+        assert (await look(world, index, f"changes?since={head['revision']}&token={head['token'] - 1}"))[0] == 410
         assert (await look(world, index, "secrets"))[0] == 404
 
     story(tell, parts=(part,))
