A drain that is cancelled says which task stays and why, once

The least used machine's reason is told, and again only if it is another machine or another reason; counted as before. The conditions themselves are the same, in the same order.

--- a/pepperlatch/policy/draining.py
+++ b/pepperlatch/policy/draining.py
@@ -25,12 +25,20 @@
 
 def movable(machine: Machine, now: float, age_s: float, lost_s: float) -> bool:
     """Its tasks all run, are young, lose little and are no gang's; a replica moves only while another one runs."""
-    return all(
-        a.phase is Phase.THERE and a.wanted and a.state is TaskState.RUNNING
-        and a.running_at is not None and now - a.running_at < age_s and a.job.spec.kind is not Kind.GANG
-        and (_other_runs(a) if a.job.spec.kind is Kind.SERVICE else unsaved_s(a, now) <= lost_s)
-        for a in machine.attempts.values()
-    )  # fmt: skip
+    return not any(stays(attempt, now, age_s, lost_s) for attempt in machine.attempts.values())
+
+
+def stays(attempt: Attempt, now: float, age_s: float, lost_s: float) -> str:
+    """Why a task is not moved; empty if it may be."""
+    if attempt.phase is not Phase.THERE or not attempt.wanted or attempt.state is not TaskState.RUNNING:
+        return "is starting or ending"
+    if attempt.running_at is None or now - attempt.running_at >= age_s:
+        return f"has run for over {age_s:g} s"
+    if attempt.job.spec.kind is Kind.GANG:
+        return "is of a gang"
+    if attempt.job.spec.kind is Kind.SERVICE:
+        return "" if _other_runs(attempt) else "is the only replica that runs"
+    return f"would lose over {lost_s:g} s of work" if unsaved_s(attempt, now) > lost_s else ""
 
 
 def unsaved_s(attempt: Attempt, now: float) -> float:
@@ -96,3 +104,17 @@
         if moves is not None:
             return Drain(machine, moves)
     return None
+
+
+def why_not(
+    machine: Machine, machines: list[Machine], age_s: float, lost_s: float, now: float,
+    needed: Callable[[Machine], bool],
+) -> str:  # fmt: skip
+    """Why an underused machine is not drained."""
+    if needed(machine):
+        return "somebody waits who would go there"
+    for attempt in machine.attempts.values():
+        if why := stays(attempt, now, age_s, lost_s):
+            return f"{attempt.name} {why}"
+    busy = [m for m in machines if m.attempts]
+    return "a task has no place elsewhere" if destinations(machine, busy) is None else ""
--- a/pepperlatch/policy/planner.py
+++ b/pepperlatch/policy/planner.py
@@ -33,6 +33,7 @@
     drained_at: float = 0.0
     drains_begun: int = 0
     drains_cancelled: int = 0  # rounds in which an underused machine could not be drained
+    drain_cancelled: tuple[str, str] = ("", "")  # the last of these, and why
     look_after: float = 0.0  # when it is looked again at what waits though nothing has changed
     needs: list[Need] = field(default_factory=list)
     spare: Spare = field(default_factory=Spare)
@@ -462,10 +463,7 @@
             lambda m: self._needed(m, now),
         )
         if choice is None:
-            low = draining.underused(machines, knobs["drain_threshold"])
-            self.drains_cancelled += bool(low)
-            if low:
-                self.cluster.listener.machine(low[0], "drain cancelled", "a task of it has no place elsewhere", now)
+            self._drain_cancelled(machines, now)
             return
         self.drains_begun += 1
         choice.machine.draining = "underused"
@@ -475,6 +473,20 @@
             attempt.job.prefer[attempt.task] = target
             self.cluster.stop(attempt, attempt.job.spec.save_s, "its machine is drained")
 
+    def _drain_cancelled(self, machines: list[Machine], now: float) -> None:
+        """Counted each round; told of the least used machine, and again only if it is another or for another reason."""
+        knobs = self.tuning
+        low = draining.underused(machines, knobs["drain_threshold"])
+        self.drains_cancelled += bool(low)
+        if not low:
+            return
+        why = draining.why_not(
+            low[0], machines, knobs["drain_age_s"], knobs["drain_lost_s"], now, lambda m: self._needed(m, now)
+        )
+        if (low[0].name, why) != self.drain_cancelled:
+            self.drain_cancelled = (low[0].name, why)
+            self.cluster.listener.machine(low[0], "drain cancelled", why, now)
+
     def _needed(self, machine: Machine, now: float) -> bool:
         """Whether a waiting task would go there; thrifty ones wait for cheaper room."""
         return any(
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -190,6 +190,13 @@
 
     assert drained(world()) is not None
     assert drained(world(), needed=True) is None
+    for shape, now, why in (
+        ("sweep", 20.0, "would lose over 8 s of work"), ("group", 5.0, "is of a gang"),
+        ("daemon", 5.0, "is the only replica that runs"),
+    ):  # fmt: skip
+        machines = world(shape=shape)
+        said = draining.why_not(machines[0], machines, 600.0, 8.0, now, lambda m: False)
+        assert said.endswith(why), said
     assert drained(world(), now=5.0, age_s=4.0) is None
     assert drained(world(), now=20.0) is None, "20 s of work would be lost"
     assert drained(world(shape="group")) is None
