--- a/pepperlatch/console/model.py
+++ b/pepperlatch/console/model.py
@@ -231,13 +231,8 @@
 
     def _team(self, name: str) -> dict[str, Any]:
         quota = self.leader.cluster.quota
-        team, used, unseen = quota.teams[name], quota.of(name), quota.hidden.get(name)
-        return {
-            "name": name,
-            "cpus": used.cpus, "cpus_guaranteed": team.cpus, "cpus_limit": team.cpus_max,
-            "gpus": used.gpus, "gpus_guaranteed": team.gpus, "gpus_limit": team.gpus_max,
-            "cpus_unseen": unseen.cpus if unseen else 0.0,
-        }  # fmt: skip
+        unseen = quota.hidden.get(name)
+        return {**quota.shown(name), "cpus_unseen": unseen.cpus if unseen else 0.0}
 
     def machines(self) -> list[dict[str, Any]]:
         """Every machine with its state and why it is in it."""
--- a/pepperlatch/console/part.py
+++ b/pepperlatch/console/part.py
@@ -80,15 +80,16 @@
         return Response(200, text, {"Content-Type": kind})
 
     async def run(self) -> None:
-        """The members' listener, if there is one."""
-        if self._wanted.public.listen:
-            from pepperlatch.console.public import Public
-
-            host, port = split_address(self._wanted.public.listen)
-            server = Server(Public(self._views(), self._wanted.public).handle, c.PUBLIC_CONNECTIONS)
-            await server.serve(host, port)
-        await self._looked.wait()
-        await self._views().run()
+        """The rows of those who look, and the members' listener, if there is one."""
+        async with trio.open_nursery() as nursery:
+            if self._wanted.public.listen:
+                from pepperlatch.console.public import Public
+
+                host, port = split_address(self._wanted.public.listen)
+                server = Server(Public(self._views(), self._wanted.public).handle, c.PUBLIC_CONNECTIONS)
+                nursery.start_soon(server.serve, host, port)
+            await self._looked.wait()
+            await self._views().run()
 
     async def lead(self, term: Term) -> None:
         """Take up what the last leader saved, then save in turn. Cut off anywhere, the last whole saving stays."""
--- a/pepperlatch/console/picture.py
+++ b/pepperlatch/console/picture.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from pepperlatch.console.rows import JobRow
-from pepperlatch.policy.reasons import CHANGES, Why
+from pepperlatch.policy.reasons import changes_when
 from pepperlatch.protocol.wire import RANK, Priority
 
 JOB_COLUMNS = (
@@ -92,13 +92,6 @@
         return changes_when(self.why)
 
 
-def changes_when(why: str) -> str:
-    try:
-        return CHANGES[Why(why)]
-    except ValueError:
-        return ""  # a later version's reason
-
-
 def groups(found: Iterable[JobRow]) -> list[Group]:
     """By reason: where most urgent work waits first, what runs last."""
     by_why: dict[str, list[JobRow]] = defaultdict(list)
--- a/pepperlatch/console/service.py
+++ b/pepperlatch/console/service.py
@@ -22,6 +22,7 @@
 from pepperlatch.console.recorder import Recorder
 from pepperlatch.constants import console as c
 from pepperlatch.controller.parts import Core
+from pepperlatch.policy.reasons import changes_when
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.budget import Budget
 from pepperlatch.protocol.http.client import Lost, NotSent
@@ -174,7 +175,7 @@
         found: dict[str, Any] = {"job": rows.plain([row])[0] if row else None, "line": line}
         found["state"] = row.state if row else entry.state.value
         if row is not None:
-            found["changes_when"] = change_of(row.why)
+            found["changes_when"] = changes_when(row.why)
             found["order"] = model.order(job_id)
         return found
 
@@ -257,12 +258,6 @@
         return Response(200, {**head, "jobs": rows.plain(shown), "next": after, "shown": len(made)})
 
 
-def change_of(why: str) -> str:
-    from pepperlatch.policy.reasons import CHANGES, Why
-
-    return CHANGES[Why(why)]
-
-
 def _known(path: str) -> bool:
     known = [f"{BASE}/{name}" for name in ("overview", "jobs", "changes", "machines", "events")]
     return path in known or path.startswith(f"{BASE}/jobs/")
--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -414,14 +414,7 @@
             "waiting_for_others": self.replica.waiting_for_others(),
         }
         answer["drains"] = {"begun": planner.drains_begun, "cancelled": planner.drains_cancelled}
-        answer["teams"] = [
-            {
-                "name": t.name,
-                "cpus": cluster.quota.of(t.name).cpus, "cpus_guaranteed": t.cpus, "cpus_limit": t.cpus_max,
-                "gpus": cluster.quota.of(t.name).gpus, "gpus_guaranteed": t.gpus, "gpus_limit": t.gpus_max,
-            }
-            for t in self.settings.params.teams
-        ]  # fmt: skip
+        answer["teams"] = [cluster.quota.shown(t.name) for t in self.settings.params.teams]
         return answer
 
 
--- a/pepperlatch/policy/quota.py
+++ b/pepperlatch/policy/quota.py
@@ -46,6 +46,15 @@
         ]
         return max(0, min(rooms, default=spec.tasks))
 
+    def shown(self, name: str) -> dict[str, object]:
+        """A team's use against its guarantee and its limit, for operators."""
+        team, used = self.teams[name], self.of(name)
+        return {
+            "name": name,
+            "cpus": used.cpus, "cpus_guaranteed": team.cpus, "cpus_limit": team.cpus_max,
+            "gpus": used.gpus, "gpus_guaranteed": team.gpus, "gpus_limit": team.gpus_max,
+        }  # fmt: skip
+
     def at_limit(self, spec: JobSpec) -> Reason:
         """The limit that leaves no room for another task of the job, with what counts against it."""
         team, used, hidden = self.teams.get(spec.team), self.of(spec.team), self.hidden.get(spec.team, Use())
--- a/pepperlatch/policy/reasons.py
+++ b/pepperlatch/policy/reasons.py
@@ -59,6 +59,16 @@
     Why.RUNNING: "nothing waits",
     Why.UNKNOWN: "look at the leader's own view",
 }
+
+
+def changes_when(why: str) -> str:
+    """What ends a wait of this kind, in words; empty for a kind of a later version."""
+    try:
+        return CHANGES[Why(why)]
+    except ValueError:
+        return ""
+
+
 # What a job without a place waits for; set by renting, after each round that found no room.
 SUPPLY = frozenset(
     (Why.NO_ROOM, Why.FINISHING, Why.BOOTING, Why.ASKED, Why.CAPACITY, Why.DARK, Why.THRIFT, Why.HELD)
--- a/tests/console/test_view.py
+++ b/tests/console/test_view.py
@@ -19,7 +19,7 @@
 from pepperlatch.controller.leader import Leader
 from pepperlatch.controller.parts import Core
 from pepperlatch.policy.reasons import Why
-from pepperlatch.protocol.http.server import Request
+from pepperlatch.protocol.http.server import Request, Server
 from tests.console.helpers import busy_day, look, mirror_of, next_leader, part
 from tests.fakes import NODES, World, job, story
 
@@ -375,6 +375,30 @@
     assert words[0] == words[1] != words[2]
 
 
+def test_rows_are_made_beside_the_members_listener(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Seen on reading: the listener served for ever, and what makes many rows a part at a time never began."""
+    served: list[str] = []
+
+    async def serve(server: Any, host: str, port: int) -> None:
+        served.append(host)
+        await trio.sleep_forever()
+
+    monkeypatch.setattr(Server, "serve", serve)
+
+    def open_(core: Core) -> Console:
+        return Console(core, features.Console(on=True, public=features.Public("127.0.0.1:1")), lambda: 0.0)
+
+    async def tell(world: World) -> None:
+        for number in range(2 * c.ROWS_AN_ANSWER):
+            await world.submit(job(number))
+        assert (await look(world, world.leader(), "jobs"))[1]["pending"] > 0
+        await trio.sleep(3.0)
+        console: Any = world.nodes[world.leader()].parts._parts[0]
+        assert console._views()._leading().pending() == 0 and set(served) == {"127.0.0.1"}
+
+    story(tell, parts=(open_,), write_rps=1000.0)
+
+
 def test_metrics_are_what_the_core_counts_and_name_no_job() -> None:
     async def tell(world: World) -> None:
         for one in busy_day():
