--- a/pepperlatch/constants/core.py
+++ b/pepperlatch/constants/core.py
@@ -13,6 +13,8 @@
 READ_CHUNK_BYTES: Final = 64 * 1024  # bytes; one read takes a whole request of the largest size
 REQUEST_READ_S: Final = 5.0  # s; a slow client is cut off after this, users give up after 5 s anyway
 IDLE_CONNECTION_S: Final = 90.0  # s; users poll every 5 s and workers report faster, so idle means gone
+COMPRESS_LEVEL: Final = 3  # of 9; half the size of level 1 is not had for twice its time
+UNPACKED_BYTES: Final = 64 * 1024 * 1024  # bytes; far above any answer, far below any memory
 POOL_IDLE_PER_PEER: Final = 4  # connections; more than this at once to one address is rare
 POOL_IDLE_S: Final = 20.0  # s; an idle pooled connection older than this is closed, not trusted
 CONNECT_S: Final = 1.0  # s; three round trips of the slowest link, one lost packet included
@@ -25,6 +27,9 @@
 RETRY_AFTER_MOST_S: Final = 30.0  # s; the longest that the protocol's users heed
 CLIENT_CONNECTIONS: Final = 16  # connections of the command line; it asks one node at a time
 
+LOG_BURST: Final = 2000.0  # lines of one kind at once; a takeover places some thousand tasks
+LOG_RATE: Final = 100.0  # lines a second of one kind after that
+
 # --- state service --------------------------------------------------------------------------------
 STATE_REQUEST_S: Final = 1.5  # s; answers take under 10 ms, now and then a few hundred
 STATE_SHARE_LEADER: Final = 0.45  # share of the budget; the leader writes results besides submissions
@@ -122,6 +127,7 @@
 PLAN_GAP_S: Final = 0.1  # s; changes that come together are planned for together
 PLAN_REST: Final = 3.0  # times its own length that a round is followed by other work: reports go before planning
 PLAN_LOOK_REST: Final = 20.0  # times its length that a round rests if nothing changes: 5 % of what a leader has
+REASON_STANDS_S: Final = 3.0  # s; longer than hires take to be answered, shorter than anybody minds
 ERROR_WINDOW_S: Final = 60.0  # s; errors further apart say nothing about a machine
 ERROR_TASKS: Final = 2  # different tasks failed in a row before a machine is taken to be faulty
 JOB_ERROR_MACHINES: Final = 3  # machines a job must fail on before the job is taken to be at fault
--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -16,11 +16,12 @@
 from pepperlatch.controller.leader import Leader
 from pepperlatch.controller.leadership import Leadership, Term, hold_seconds
 from pepperlatch.controller.owner import Owner, Reply
-from pepperlatch.controller.parts import Core, Part, Parts
+from pepperlatch.controller.parts import Core, Part, Parts, Told
 from pepperlatch.controller.peers import PEER_FENCE, PEER_INSPECT, Peers
 from pepperlatch.controller.store import Replica, Watched
 from pepperlatch.controller.users import Progress, Users
 from pepperlatch.policy.model import Status, split_task
+from pepperlatch.policy.reasons import Reason, Why
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.cloud import CloudClient, CloudTrouble
 from pepperlatch.protocol.http.client import HttpNetwork, Lost, Network, NotSent
@@ -87,7 +88,10 @@
         self.owner = Owner(self._settle, c.TICK_S / 5)
         self.users = Users(settings, self.watched, self.state, wall, self._progress)
         self.admin = Admin(self.watched, self.state, self.view)
-        core = Core(settings, self.users, self.watched, self.state, wall)
+        core = Core(
+            settings, self.users, self.watched, self.state, wall, clock, network, lambda: self.leader,
+            lambda: Told(self._contact.at, self._progress),
+        )  # fmt: skip
         self.parts = Parts([part(core) for part in parts])
         self.leader: Leader | None = None
         self._nursery: trio.Nursery | None = None
@@ -120,6 +124,7 @@
             self.settings, term, self.replica, self.state, self.cloud, self.workers, self.owner,
             self._clock, self._wall, self.peers,
         )  # fmt: skip
+        self.leader.cluster.listener = self.parts.listener(self.leader)
         if self._nursery is not None:
             self._nursery.start_soon(self.leader.run)
             self._nursery.start_soon(self.parts.lead, term)
@@ -144,8 +149,7 @@
             return await self._beat(request.body)
         if request.path.startswith(wire.JOBS):
             return await self.users.handle(request)
-        answer = await self.parts.handle(request.path.partition("?")[0], request)
-        return answer or await self.users.handle(request)
+        return await self.parts.handle(request) or await self.users.handle(request)
 
     def _health(self) -> Response:
         """Unhealthy only if the state service refuses this node alone; an outage is everyone's."""
@@ -265,7 +269,7 @@
             return self._on_bar(request.body)
         if request.path == PEER_HEALTH:
             return Response(200, {"state": self.replica.loaded and await self._state_answers()})
-        return await self.admin.handle(request)
+        return await self.parts.handle(request, operators=True) or await self.admin.handle(request)
 
     def _on_contact(self, body: bytes) -> Response:
         """A follower asks what it may show users, and may stand in for us from now on."""
@@ -280,7 +284,7 @@
         return Response(
             200,
             {
-                j.spec.id: [j.running(), len(j.done), j.reason, round(now - j.reason_since, 1)]
+                j.spec.id: [j.running(), len(j.done), j.reason.text(), round(now - j.reason_since, 1), j.reason.kind]
                 for j in jobs
                 if not j.over
             },
@@ -306,7 +310,10 @@
                 return None
             return Progress(job.running(), len(job.done), job.reason, self._clock() - job.reason_since)
         row = self._contact.jobs.get(job_id)
-        return Progress(row[0], row[1], row[2], row[3] + self._clock() - self._contact.at) if row else None
+        if not row:
+            return None
+        reason = Reason(Why.UNKNOWN, said=row[2])  # the leader's own words, whatever its version
+        return Progress(row[0], row[1], reason, row[3] + self._clock() - self._contact.at)
 
     async def _contact_loop(self) -> None:
         while True:
@@ -418,12 +425,15 @@
         return answer
 
 
-async def serve(settings: Settings, parts: Sequence[Callable[[Core], Part]] = ()) -> None:
-    """Run a node until it is cancelled, with the parts that are switched on."""
+async def serve(
+    settings: Settings, parts: Sequence[Callable[[Core], Part]] = (), made: Callable[[Node], None] = lambda node: None
+) -> None:
+    """Run a node until it is cancelled, with the parts that are switched on. `made` is shown the node."""
     limit = settings.params.limits.max_connections
     accepted = int(limit * c.SOCKET_SHARE_SERVER)
     network = HttpNetwork(limit - accepted - 20)
     node = Node(settings, network, parts=parts)
+    made(node)
     log.info("version %s", __version__)
     async with trio.open_nursery() as nursery:
         for handler, address, most in (
--- a/pepperlatch/controller/leader.py
+++ b/pepperlatch/controller/leader.py
@@ -44,12 +44,12 @@
     ) -> None:  # fmt: skip
         self.settings = settings
         self.term = term
-        self._replica = replica
+        self.replica = replica
         self._state = state
         self._workers = workers
-        self._owner = owner
-        self._clock = clock
-        self._wall = wall
+        self.owner = owner
+        self.clock = clock
+        self.wall = wall
         now = clock()
         self.cluster = Cluster(settings.node, term.token, settings.params, now, term.hold_s, self._spec_if_over)
         self.planner = Planner(self.cluster, Tuning(replica.tuning[0]))
@@ -73,7 +73,7 @@
             fleet_pairs = await self._read_fleet()
             if fleet_pairs is None:
                 return
-            self._owner.post(lambda: self._start(fleet_pairs))
+            self.owner.post(lambda: self._start(fleet_pairs))
             for task in (
                 self.writer.run,
                 self._rentals.types_loop,
@@ -88,7 +88,7 @@
     async def _read_fleet(self) -> list[wire.KeyValue] | None:
         while not self.term.over:
             try:
-                if self._replica.revision >= self.term.token:
+                if self.replica.revision >= self.term.token:
                     return (await self._state.read_all(store.FLEET))[1]
             except (Away, Unsure):
                 pass
@@ -97,10 +97,10 @@
 
     def _start(self, pairs: list[wire.KeyValue]) -> None:
         """Take over: all that is recorded is loaded, then every machine fenced."""
-        now = self._clock()
+        now = self.clock()
         cluster = self.cluster
-        cluster.types = {kind.name: kind for kind in self._replica.types}
-        for job_id, entry in self._replica.jobs.items():
+        cluster.types = {kind.name: kind for kind in self.replica.types}
+        for job_id, entry in self.replica.jobs.items():
             if entry.state not in wire.FINAL:
                 self._add_job(job_id)
             elif entry.record.state == entry.state.value:
@@ -112,7 +112,9 @@
             if pair.key.startswith(store.HIRE):
                 self._rentals.repeat_hire(pair.key[len(store.HIRE) :], wire.convert(pair.value, store.HireRecord))
         self.ready = True
-        log.info("took over with %d machines, %d jobs", len(cluster.machines), len(cluster.jobs))
+        took = f"took over with {len(cluster.machines)} machines, {len(cluster.jobs)} jobs"
+        log.info("%s", took)
+        cluster.listener.noted("takeover", took, now)
 
     def _load_machine(self, name: str, record: store.MachineRecord, now: float) -> None:
         kind = self.cluster.types.get(record.type)
@@ -131,20 +133,22 @@
     # --- jobs -------------------------------------------------------------------------------------
 
     def _spec_if_over(self, job_id: str) -> wire.JobSpec | None:
-        entry = self._replica.jobs.get(job_id)
+        entry = self.replica.jobs.get(job_id)
         return entry.record.spec if entry is not None and entry.state in wire.FINAL else None
 
     def _add_job(self, job_id: str) -> None:
         """Only a job that is ready becomes known to the planner: what waits holds no part of anything."""
-        entry = self._replica.jobs[job_id]
-        spec, chain = entry.record.spec, self._replica.chain
-        if spec is None or not self._replica.ready(job_id):
+        entry = self.replica.jobs[job_id]
+        spec, chain = entry.record.spec, self.replica.chain
+        if spec is None or not self.replica.ready(job_id):
+            self.cluster.listener.job(job_id, "waits", self.clock())
             return
-        since = self._clock() - max(0.0, self._wall() - chain.ready_at(job_id, entry.record.at))
-        newest = max([entry.version, *(self._replica.jobs[name].version for name in chain.needs.get(job_id, ()))])
-        job = self.cluster.add_job(spec, entry.version, since, self._replica.done_tasks(job_id))
+        since = self.clock() - max(0.0, self.wall() - chain.ready_at(job_id, entry.record.at))
+        newest = max([entry.version, *(self.replica.jobs[name].version for name in chain.needs.get(job_id, ()))])
+        job = self.cluster.add_job(spec, entry.version, since, self.replica.done_tasks(job_id))
         job.old = newest <= self.term.token
         self._stand(job_id)
+        self.cluster.listener.job(job_id, "ready", self.clock())
         log.info(
             "job %s: %s %s of %d x %g cpus",
             job_id,
@@ -156,10 +160,10 @@
 
     def _stand(self, job_id: str) -> None:
         """A job works with the rank and the due time of whatever needs it, if those are stronger than its own."""
-        job, standing = self.cluster.jobs.get(job_id), self._replica.chain.standing(job_id)
+        job, standing = self.cluster.jobs.get(job_id), self.replica.chain.standing(job_id)
         if job is None or standing is None:
             return
-        due_at = self._clock() + standing.due - self._wall() if standing.due < math.inf else None
+        due_at = self.clock() + standing.due - self.wall() if standing.due < math.inf else None
         if (job.rank, job.due_at is None) != (standing.rank, due_at is None):
             self.cluster.dirty = True
         job.rank, job.due_at, job.after = standing.rank, due_at, standing.after
@@ -169,26 +173,27 @@
         if not self.ready:
             return
         for job_id in touched:
-            entry = self._replica.jobs[job_id]
+            entry = self.replica.jobs[job_id]
             known = self.cluster.jobs.get(job_id)
             if entry.state in wire.FINAL:
-                self.cluster.end_job(job_id, self._clock())
+                self.cluster.end_job(job_id, self.clock())
+                self.cluster.listener.job(job_id, entry.state.value, self.clock())
                 if entry.record.state == entry.state.value:
                     self._records.tidy(job_id)
             elif known is None:
                 self._add_job(job_id)
             else:
                 known.version = entry.version
-        for job_id in self._replica.chain.before(touched):
+        for job_id in self.replica.chain.before(touched):
             self._stand(job_id)
-        if self._replica.tuning[1] != self._tuning_version:
-            self._tuning_version = self._replica.tuning[1]
-            self.planner.tuning = Tuning(self._replica.tuning[0])
+        if self.replica.tuning[1] != self._tuning_version:
+            self._tuning_version = self.replica.tuning[1]
+            self.planner.tuning = Tuning(self.replica.tuning[0])
 
     # --- reports ----------------------------------------------------------------------------------
 
     def on_beat(self, report: Report, reply: Reply[BeatAnswer]) -> None:
-        now = self._clock()
+        now = self.clock()
         if not self.ready or not self.term.may_answer(now):
             reply.give(None)
             return
@@ -200,7 +205,7 @@
         self._beats.append((machine, report.seq, reply))
 
     def _direct_report(self, report: Report) -> None:
-        self.cluster.on_report(report, self._clock(), beat=False)
+        self.cluster.on_report(report, self.clock(), beat=False)
         self._after_report()
 
     def _after_report(self) -> None:
@@ -214,7 +219,7 @@
         if not self.ready or self.term.over:
             self._refuse_beats()
             return
-        now = self._clock()
+        now = self.clock()
         sure, may = self.term.sure(now), self.term.may_answer(now)
         if now - self._housekeep_at >= c.TICK_S:
             self._housekeep_at = now
@@ -240,7 +245,9 @@
         if sure and now - self._rented_at >= c.RENT_GAP_S:
             self._rented_at = now
             self._rentals.rent(now)
-        took = self._clock() - now
+        elif not sure:
+            self.planner.hold(now)
+        took = self.clock() - now
         self._plan_after = now + took + max(c.PLAN_GAP_S, c.PLAN_REST * took)
         self.planner.look_after = now + took + c.PLAN_LOOK_REST * took
         if took > c.PLAN_LONG_S:
@@ -284,12 +291,12 @@
             executed, pause = False, c.COMMAND_S / 2
         except Lost:
             pause = c.COMMAND_S
-        self._owner.post(lambda: self._commanded(machine, report, launched, executed, pause))
+        self.owner.post(lambda: self._commanded(machine, report, launched, executed, pause))
 
     def _commanded(
         self, machine: Machine, report: Report | None, launched: list[Any], executed: bool | None, pause: float
     ) -> None:
-        now = self._clock()
+        now = self.clock()
         machine.sending = False
         machine.send_after = now + pause
         if report is not None:
--- a/pepperlatch/controller/owner.py
+++ b/pepperlatch/controller/owner.py
@@ -28,6 +28,10 @@
         self._queue.append(command)
         self._wake.set()
 
+    def long(self) -> bool:
+        """Whether the node falls behind, so that what is not needed gives way."""
+        return len(self._queue) >= c.QUEUE_LONG
+
     def full(self) -> bool:
         """Whether reports are to be refused; what the node asked for itself is always taken."""
         return len(self._queue) >= c.QUEUE_MOST
@@ -37,7 +41,7 @@
             with trio.move_on_after(self.tick_s):
                 await self._wake.wait()
             self._wake = trio.Event()
-            if len(self._queue) >= c.QUEUE_LONG:
+            if self.long():
                 log.info("%d commands wait", len(self._queue))
             for _ in range(len(self._queue)):
                 self._queue.popleft()()
--- a/pepperlatch/controller/records.py
+++ b/pepperlatch/controller/records.py
@@ -60,7 +60,8 @@
         changes = [wire.put(store.JOB + job_id, wire.to_plain(record))]
 
         def done(applied: bool) -> None:
-            log.info("job %s done%s", job_id, "" if applied else ", but it was changed meanwhile")
+            changed = "" if applied else ", but it was changed meanwhile"
+            log.info("job %s done%s", job_id, changed, extra={"job": job_id})
             job.finishing = False
 
         self._duty.writer.add(Write(changes, done, [wire.when(store.JOB + job_id, job.version)]))
--- a/pepperlatch/controller/rentals.py
+++ b/pepperlatch/controller/rentals.py
@@ -95,7 +95,9 @@
                 continue
             fresh.add(name)
             if known is None:
-                self._duty.cluster.machines[name] = Machine(name, kind, offer.zone, offer.spot, "", Status.BOOTING, now)
+                machine = Machine(name, kind, offer.zone, offer.spot, "", Status.BOOTING, now)
+                self._duty.cluster.machines[name] = machine
+                self._duty.cluster.listener.machine(machine, "hired", "", now)
         self._hire_of[hire] = fresh
         self.off_hire("")
         self._duty.cluster.dirty = True
--- a/pepperlatch/controller/users.py
+++ b/pepperlatch/controller/users.py
@@ -15,6 +15,7 @@
 from pepperlatch.controller.store import Entry, Replica, Watched
 from pepperlatch.policy.model import allowed_on, fits_type
 from pepperlatch.policy.quota import can_ever_run
+from pepperlatch.policy.reasons import Reason, Why
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.http.server import Request, Response
 from pepperlatch.protocol.state import Away, Refused, StateClient, Unsure
@@ -38,7 +39,7 @@
 
     running: int
     done: int
-    reason: str
+    reason: Reason
     waited_s: float
 
 
@@ -97,9 +98,14 @@
         raise Impossible("a task fits no allowed machine type")
 
 
-def _names(job_ids: list[str]) -> str:
-    more = len(job_ids) - c.NAMES_SHOWN
-    return ", ".join(job_ids[: c.NAMES_SHOWN]) + (f" and {more} more" if more > 0 else "")
+def standing_reason(replica: Replica, job_id: str) -> Reason | None:
+    """What the records alone say of a job: it waits for others, or was cancelled with one that it needs."""
+    entry = replica.jobs[job_id]
+    if entry.state in wire.FINAL:
+        through = entry.through
+        return None if through is None or through == job_id else Reason(Why.GONE, names=(through,))
+    waits_for = replica.chain.waits_for(job_id)
+    return Reason(Why.NEEDS, names=tuple(waits_for)) if waits_for else None
 
 
 def later() -> Response:
@@ -283,19 +289,19 @@
         tasks = entry.record.tasks
         if entry.state in wire.FINAL:
             answer = wire.job_answer(job_id, entry.state, tasks if entry.state is JobState.DONE else 0, 0)
-            if entry.through not in (None, job_id):
-                answer["reason"] = f"{entry.through}, which it needs, was cancelled"
+            if (reason := standing_reason(self._replica, job_id)) is not None:
+                answer["reason"] = reason.text()
             return answer
-        waits_for = self._replica.chain.waits_for(job_id)
-        progress = self._progress(job_id) if not waits_for else None
+        waits_for = standing_reason(self._replica, job_id)
+        progress = self._progress(job_id) if waits_for is None else None
         if progress is None:
             answer = wire.job_answer(job_id, JobState.QUEUED, 0, 0)
-            if waits_for:
-                answer["reason"] = "waits for " + _names(waits_for)
+            if waits_for is not None:
+                answer["reason"] = waits_for.text()
             return answer
         state = JobState.RUNNING if progress.running else JobState.QUEUED
         answer = wire.job_answer(job_id, state, progress.done, progress.running)
-        answer["reason"] = progress.reason
+        answer["reason"] = progress.reason.text()
         answer["reason_for_s"] = round(progress.waited_s, 1)
         return answer
 
--- a/pepperlatch/pipelines/part.py
+++ b/pepperlatch/pipelines/part.py
@@ -11,7 +11,7 @@
 from pepperlatch import features
 from pepperlatch.constants import pipelines as c
 from pepperlatch.controller.leadership import Term
-from pepperlatch.controller.parts import Core
+from pepperlatch.controller.parts import Core, Part
 from pepperlatch.controller.users import later
 from pepperlatch.pipelines import keys
 from pepperlatch.protocol.http.server import Request, Response
@@ -21,7 +21,7 @@
     from pepperlatch.pipelines.service import Service
 
 
-class Pipelines:
+class Pipelines(Part):
     name = "pipelines"
     prefix = keys.PREFIX
     paths: Sequence[str] = ("/pipelines", "/schedules")
--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -11,8 +11,11 @@
 from typing import Any
 
 from pepperlatch.constants import core as c
+from pepperlatch.policy import reasons
+from pepperlatch.policy.events import Listener, Nobody
 from pepperlatch.policy.model import Attempt, Job, Machine, Phase, Status, split_task
 from pepperlatch.policy.quota import Quota, Use
+from pepperlatch.policy.reasons import Reason
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.wire import Cause, JobSpec, Kind, MachineType, Report, TaskReport, TaskState
 from pepperlatch.settings import Params
@@ -23,6 +26,11 @@
 SpecOf = Callable[[str], JobSpec | None]
 
 
+def _fields(attempt: Attempt) -> dict[str, Any]:
+    """Of a line in the log."""
+    return {"job": attempt.job.spec.id, "task": attempt.task, "machine": attempt.machine.name}
+
+
 @dataclass(slots=True)
 class StandIn:
     """What the leader knows of a controller that may keep leases alive in its place."""
@@ -56,6 +64,7 @@
         self._next = 0
         self.started = now
         self.stand_ins: dict[str, StandIn] = {}
+        self.listener: Listener = Nobody()
 
     # --- jobs -------------------------------------------------------------------------------------
 
@@ -79,11 +88,18 @@
         job.waiting.clear()
         self.unsaved.discard(job_id)
         for attempt in list(job.live.values()):
-            self.stop(attempt, 0.0)
+            self.stop(attempt, 0.0, "the job is over")
         if not job.live:
             self.jobs.pop(job_id, None)
         self.dirty = True
 
+    def explain(self, job: Job, reason: Reason, now: float) -> None:
+        """State why the job waits, or that it does not."""
+        if job.explain(reason, now):
+            self.listener.explained(job, now)
+            if log.isEnabledFor(logging.DEBUG):
+                log.debug("%s: %s", job.spec.id, reason.text(), extra={"job": job.spec.id})
+
     # --- attempts ---------------------------------------------------------------------------------
 
     def new_number(self) -> int:
@@ -95,8 +111,11 @@
         attempt = Attempt(job, task, number or self.new_number(), machine, now)
         image = "held" if machine.holds_image(job.spec) else "fetching" if machine.fetches_image(job.spec) else "absent"
         self._register(attempt)
-        job.explain("starting", now)
-        log.info("place %s try %d on %s, image %s", attempt.name, attempt.number, machine.name, image)
+        self.listener.placed(attempt, now)
+        log.info(
+            "place %s try %d on %s, image %s", attempt.name, attempt.number, machine.name, image,
+            extra=_fields(attempt),
+        )  # fmt: skip
         return attempt
 
     def _register(self, attempt: Attempt) -> None:
@@ -106,21 +125,22 @@
         self.quota.of(job.spec.team).add(job.spec, 1)
         self.touched.add(machine)
 
-    def stop(self, attempt: Attempt, grace_s: float) -> None:
+    def stop(self, attempt: Attempt, grace_s: float, why: str) -> None:
+        attempt.stopped_for = attempt.stopped_for or why
         if attempt.wanted or grace_s < (attempt.kill_grace or 0.0):
             attempt.kill_grace = grace_s
             attempt.kill_sent = -1.0
         if attempt.phase is Phase.PLANNED:
-            self._remove(attempt, attempt.planned_at)
+            self._remove(attempt, attempt.planned_at, why)
             self._requeue(attempt)
         self.touched.add(attempt.machine)
 
     def undo(self, attempt: Attempt) -> None:
         """Take back a placement that was never sent."""
-        self._remove(attempt, attempt.planned_at)
+        self._remove(attempt, attempt.planned_at, "not sent")
         attempt.job.waiting.appendleft(attempt.task)
 
-    def _remove(self, attempt: Attempt, now: float) -> None:
+    def _remove(self, attempt: Attempt, now: float, cause: str) -> None:
         """The task is proven gone from its machine."""
         machine, job = attempt.machine, attempt.job
         if not machine.drop(attempt):
@@ -131,6 +151,7 @@
         if not machine.attempts:
             machine.idle_since = now
         self.dirty = True
+        self.listener.ended(attempt, cause, now)
 
     def _requeue(self, attempt: Attempt) -> None:
         job = attempt.job
@@ -146,7 +167,7 @@
         """A gang lives or dies together: the rest must be gone before it starts again."""
         for other in list(job.live.values()):
             if other.wanted and other.state in (None, TaskState.FETCHING, TaskState.WAITING):
-                self.stop(other, 0.0)
+                self.stop(other, 0.0, "its gang lost a task")
 
     # --- reports ----------------------------------------------------------------------------------
 
@@ -161,7 +182,7 @@
         if machine is None or (report.session, report.seq) <= (machine.session, machine.seq):
             return machine
         if report.session > machine.session:
-            self._all_gone(machine, now)
+            self._all_gone(machine, now, "its worker began anew")
         machine.session, machine.seq, machine.addr = report.session, report.seq, report.addr
         machine.seen_at, machine.probes, machine.probes_unheard = now, 0, 0
         if machine.answered_at < 0:
@@ -198,7 +219,9 @@
             self.unaccounted.discard(name)
             self.dirty = True
             if not self.unaccounted:
-                log.info("all machines accounted for, %.1f s after taking over", now - self.started)
+                took = f"all machines accounted for, {now - self.started:.1f} s after taking over"
+                log.info("%s", took)
+                self.listener.noted("takeover", took, now)
 
     def recorded(self, name: str, now: float) -> None:
         machine = self.machines.get(name)
@@ -208,7 +231,8 @@
             if not machine.attempts:
                 machine.idle_since = now
             self.dirty = True
-            log.info("machine %s up after %.1f s", name, now - machine.born)
+            log.info("machine %s up after %.1f s", name, now - machine.born, extra={"machine": name})
+            self.listener.machine(machine, "up", "", now)
 
     def _tasks(self, machine: Machine, report: Report, now: float, beat: bool) -> None:
         shown = {(t.task, t.attempt): t for t in report.tasks}
@@ -237,9 +261,11 @@
                 attempt.running_at = now
                 attempt.job.ran = True
                 attempt.machine.used_image(attempt.job.spec)
-                attempt.job.explain("running", now)
-            elif state is TaskState.FETCHING:
-                attempt.job.explain("fetching its image", now)
+                self.listener.started(attempt, now)
+                if not attempt.job.waiting:
+                    self.explain(attempt.job, reasons.RUNNING, now)
+            elif state is TaskState.FETCHING and not attempt.job.waiting and not attempt.job.ran:
+                self.explain(attempt.job, reasons.fetching(attempt.job.spec), now)
 
     def _absent(self, machine: Machine, key: Key, attempt: Attempt, seq: int, beat: bool, now: float) -> None:
         """Not in the newest report. Only a launch sent in a report's answer is disproved by that.
@@ -247,12 +273,12 @@
         A direct launch may still be in flight, for minutes if a cut holds it: it stays "possibly there".
         """
         if attempt.phase is Phase.THERE and key not in machine.sticky:
-            self._remove(attempt, now)
+            self._remove(attempt, now, "not on its machine any more")
             self._requeue(attempt)
         elif attempt.phase is Phase.SENT and beat and 0 <= attempt.sent_seq < seq and key not in machine.sticky:
             attempt.phase = Phase.PLANNED
             if not attempt.wanted:
-                self._remove(attempt, now)
+                self._remove(attempt, now, attempt.stopped_for)
                 self._requeue(attempt)
             self.touched.add(machine)
 
@@ -272,7 +298,7 @@
         if parts[1] in job.waiting:
             job.waiting.remove(parts[1])
         if job.over or parts[1] in job.done:  # every task of it, not only the first one that shows up
-            self.stop(attempt, 0.0)
+            self.stop(attempt, 0.0, "the job is over")
         return attempt
 
     def _exited(self, machine: Machine, attempt: Attempt | None, task: TaskReport, now: float) -> None:
@@ -280,9 +306,11 @@
         job = self.jobs.get(parts[0]) if parts else None
         if attempt is not None:
             log.info(
-                "%s try %d on %s ended: %s", task.task, task.attempt, machine.name, task.why.value if task.why else ""
-            )
-            self._remove(attempt, now)
+                "%s try %d on %s ended: %s", task.task, task.attempt, machine.name, task.why.value if task.why else "",
+                extra=_fields(attempt),
+            )  # fmt: skip
+            cause = task.why.value if task.why else "ended"
+            self._remove(attempt, now, (task.why is Cause.STOPPED and attempt.stopped_for) or cause)
         if parts and job is not None and task.why is Cause.DONE:
             self._finished(job, parts[1], attempt, now)
         if attempt is not None:
@@ -297,7 +325,7 @@
             job.waiting.remove(number)
         other = job.live.get(task)
         if other is not None:
-            self.stop(other, 0.0)
+            self.stop(other, 0.0, "done already")
         self.unsaved.add(job.spec.id)
         self.dirty = True
         if attempt is not None and attempt.running_at is not None:
@@ -321,7 +349,9 @@
                 job.not_before = now + job.pause_s
             if len(machine.failed_tasks) >= c.ERROR_TASKS and not machine.quarantined:
                 machine.quarantined = True
-                log.info("quarantine %s: failed %s", machine.name, sorted(machine.failed_tasks))
+                self.listener.machine(machine, "quarantined", "two tasks failed in a row", now)
+                failed = sorted(machine.failed_tasks)
+                log.info("quarantine %s: failed %s", machine.name, failed, extra={"machine": machine.name})
         elif task.why is Cause.DONE:
             job.failed_on.discard(machine.name)
         elif task.why in wire.TASK_BLOCKERS:
@@ -333,13 +363,13 @@
 
     # --- machines going ---------------------------------------------------------------------------
 
-    def _all_gone(self, machine: Machine, now: float) -> None:
+    def _all_gone(self, machine: Machine, now: float, why: str) -> None:
         """A new session, or the machine itself is gone: nothing of the old one runs or can still start."""
         machine.sticky.clear()
         machine.ended.clear()
         self.strays.pop(machine.name, None)
         for attempt in list(machine.attempts.values()):
-            self._remove(attempt, now)
+            self._remove(attempt, now, why)
             self._requeue(attempt)
 
     def remove_machine(self, name: str, now: float) -> None:
@@ -350,16 +380,18 @@
         self.to_release.discard(name)
         self.releasing.discard(name)
         if machine is not None:
-            self._all_gone(machine, now)
+            self._all_gone(machine, now, f"machine returned: {machine.leaves_for}")
+            self.listener.machine(machine, "gone", machine.leaves_for, now)
             self.touched.discard(machine)
             self.to_record.discard(machine)
         self.dirty = True
 
     def release(self, machine: Machine, why: str) -> None:
         if machine.status is not Status.LEAVING:
-            log.info("return %s: %s", machine.name, why)
+            log.info("return %s: %s", machine.name, why, extra={"machine": machine.name})
             machine.status = Status.LEAVING
             machine.leaves_silent = why == SILENT
+            machine.leaves_for = why
             self.to_record.discard(machine)
             self.to_release.add(machine.name)
 
@@ -390,8 +422,8 @@
         for machine in list(self.machines.values()):
             holds = machine.attempts or machine.name in self.unaccounted
             if holds and machine.status in (Status.UP, Status.LEAVING) and self.lease_over(machine, now):
-                log.info("the lease of %s is over", machine.name)
-                self._all_gone(machine, now)
+                log.info("the lease of %s is over", machine.name, extra={"machine": machine.name})
+                self._all_gone(machine, now, "its machine's lease is over")
                 self._accounted(machine.name, now)
                 self.dirty = True
 
@@ -456,7 +488,7 @@
             else:
                 attempt.phase = Phase.PLANNED
                 if not attempt.wanted:
-                    self._remove(attempt, now)
+                    self._remove(attempt, now, attempt.stopped_for)
                     self._requeue(attempt)
         if executed is not True:
             for attempt in machine.attempts.values():
--- a/pepperlatch/policy/planner.py
+++ b/pepperlatch/policy/planner.py
@@ -8,11 +8,12 @@
 import msgspec
 
 from pepperlatch.constants import core as c
-from pepperlatch.policy import draining, fleet, placement, quota, supply
+from pepperlatch.policy import draining, fleet, placement, quota, reasons, shortage, supply
 from pepperlatch.policy.cluster import Cluster
 from pepperlatch.policy.fleet import Bin, Need, Offer
 from pepperlatch.policy.model import EPS, Attempt, Job, Machine, Phase, Status, allowed_on, fits_type
 from pepperlatch.policy.placement import Candidates
+from pepperlatch.policy.reasons import Reason, Why
 from pepperlatch.policy.supply import Spare
 from pepperlatch.policy.tuning import Tuning
 from pepperlatch.protocol.wire import RANK, JobSpec, Kind, Priority
@@ -36,6 +37,7 @@
     needs: list[Need] = field(default_factory=list)
     spare: Spare = field(default_factory=Spare)
     inside: set[str] = field(default_factory=set)  # jobs within their team's guarantee
+    limits: dict[str, Reason] = field(default_factory=dict)  # teams that were at their limit in this round
 
     # --- placing ----------------------------------------------------------------------------------
 
@@ -84,19 +86,27 @@
             homes, [j.spec for j in cluster.jobs.values() if not j.over], self.tuning["spare_jobs"], self._start_s
         )
         self.needs = []
+        self.limits = {}
+        rebuilt = Reason(Why.REBUILDING, machines=len(cluster.unaccounted), among=len(cluster.machines))
         jobs = self.ordered(now)
         machines = placement.roomy(machines, (j.spec for j in jobs))
         for job in jobs:
             if rebuilding and job.old:
-                job.explain("controllers are rebuilding their picture", now)
+                cluster.explain(job, rebuilt, now)
             elif now < job.not_before:
-                job.explain("failed before, pausing", now)
+                cluster.explain(job, self._pausing(job), now)
             elif job.spec.kind is Kind.GANG:
                 self._place_gang(job, machines, now)
             else:
                 self._place_tasks(job, machines, now)
         cluster.dirty = False
 
+    def _pausing(self, job: Job) -> Reason:
+        """It failed on several machines, or a worker had no room for it after all."""
+        if job.pause_s > 0:
+            return Reason(Why.PAUSING, machines=len(job.failed_on), until=job.not_before)
+        return Reason(Why.REFUSED, until=job.not_before)
+
     def _place_tasks(self, job: Job, machines: list[Machine], now: float) -> None:
         cluster = self.cluster
         room = cluster.quota.room(job.spec)
@@ -112,6 +122,8 @@
                 room -= 1
         if job.waiting:
             self._unplaced(job, min(room, len(job.waiting)), now)
+        else:
+            cluster.explain(job, reasons.STARTING, now)
 
     def _candidates(self, job: Job, machines: list[Machine], now: float) -> Candidates:
         spec, zones = job.spec, self.cluster.params.zones
@@ -170,9 +182,10 @@
         """All tasks or none, under one attempt number."""
         cluster, spec = self.cluster, job.spec
         if job.live:
+            cluster.explain(job, Reason(Why.LEAVING, tasks=len(job.live)), now)
             return
         if cluster.quota.room(spec) < spec.tasks:
-            job.explain("team limit", now)
+            cluster.explain(job, self._limited(spec), now)
             return
         candidates = self._candidates(job, machines, now)
         number = cluster.new_number()
@@ -186,11 +199,23 @@
                 cluster.undo(attempt)
                 self.spare.took(attempt.machine)
             self._unplaced(job, spec.tasks, now)
+        else:
+            cluster.explain(job, reasons.STARTING, now)
+
+    def _limited(self, spec: JobSpec) -> Reason:
+        """The team's limit, as it stands when it first stops a job of the team in this round."""
+        held = self.limits.get(spec.team)
+        if held is None:
+            held = self.limits[spec.team] = self.cluster.quota.at_limit(spec)
+        return held
 
     def _unplaced(self, job: Job, count: int, now: float) -> None:
+        """`rent` says in the same round what is done about it, unless it is too soon after the last time."""
         if count <= 0:
-            job.explain("team limit", now)
+            self.cluster.explain(job, self._limited(job.spec), now)
             return
+        if job.reason.kind not in reasons.SUPPLY:
+            self.cluster.explain(job, Reason(Why.NO_ROOM, tasks=count, each=reasons.each(job.spec)), now)
         self.needs.append(Need(job, count, dict(Counter(a.machine.zone for a in job.live.values()))))
 
     # --- preempting -------------------------------------------------------------------------------
@@ -216,7 +241,7 @@
             job.preempt_after = now + c.PREEMPT_PAUSE_S
             for victims in self._victims(job, machines, min(need.count, left), now):
                 for victim in victims:
-                    self.cluster.stop(victim, victim.job.spec.save_s)
+                    self.cluster.stop(victim, victim.job.spec.save_s, f"stopped for {job.spec.id}")
                 left -= len(victims)
 
     def _stopping(self) -> bool:
@@ -292,11 +317,13 @@
         needs = [
             Need(n.job, n.count, dict(n.spread), self._thrifty(n.job, now), self._turns(n.job, now)) for n in self.needs
         ]
-        for room in self.booting_bins(now):
+        wanted = len(needs)
+        bins = self.booting_bins(now)
+        for room in bins:
             room.fill(needs)
+        after_boot = [need.count for need in needs]
         self._count_on_finishing(needs, now)
-        for need in self.needs:
-            need.job.explain("machines are booting", now)
+        after_finish = [need.count for need in needs]
         needs += self._spare_need(now)
         blocked = {offer for offer, until in self.blocked.items() if until > now} | set(self.asked)
         blocked |= {
@@ -306,11 +333,24 @@
             for spot in (False, True)
         }
         chosen = fleet.choose(needs, list(self.cluster.types.values()), blocked, c.HIRE_COUNT_MOST)
-        for need in needs:
-            if need.count > 0 and need.job.spec.id:
-                need.job.explain("no capacity in the allowed zones", now)
+        short = shortage.Shortage(
+            self.cluster.types, self.blocked, set(self.asked), self.dark, bins, self._first_up(now), now
+        )
+        for need, booted, finished, left in zip(self.needs, after_boot, after_finish, needs[:wanted], strict=True):
+            self.cluster.explain(need.job, short.reason(left, need.count, booted, finished), now)
         return chosen
 
+    def hold(self, now: float) -> None:
+        """Nothing may be rented now, so nobody is told of machines that will come."""
+        for need in self.needs:
+            spec = need.job.spec
+            self.cluster.explain(need.job, Reason(Why.HELD, tasks=need.count, each=reasons.each(spec)), now)
+
+    def _first_up(self, now: float) -> float | None:
+        """About when the first of the machines that are booting will be up."""
+        booting = [m for m in self.cluster.machines.values() if m.status is Status.BOOTING and self._coming(m, now)]
+        return min((max(now, m.born + m.type.boot_s) for m in booting), default=None)
+
     def _spare_need(self, now: float) -> list[Need]:
         """Room for replicas that is neither there nor booting; only on machines that a replica would not pin."""
         if self.spare.spec is None or self.cluster.rebuilding():
@@ -357,10 +397,13 @@
             silent = sum(1 for m in up if now - max(m.seen_at, self.cluster.started) > self.fresh_s())
             if len(up) >= c.DARK_LEAST and silent >= c.DARK_SHARE * len(up):
                 if zone not in self.dark:
-                    log.info("zone %s is dark: %d of %d machines are silent", zone, silent, len(up))
+                    said = f"{silent} of {len(up)} machines are silent"
+                    log.info("zone %s is dark: %s", zone, said)
+                    self.cluster.listener.noted("dark", f"zone {zone}: {said}", now)
                 self.dark[zone] = now
             elif zone in self.dark and (len(up) > silent or now - self.dark[zone] > c.DARK_S):
                 log.info("zone %s is tried again", zone)
+                self.cluster.listener.noted("dark", f"zone {zone} is tried again", now)
                 del self.dark[zone]
 
     def refused(self, offer: Offer, now: float) -> None:
@@ -419,14 +462,18 @@
             lambda m: self._needed(m, now),
         )
         if choice is None:
-            self.drains_cancelled += bool(draining.underused(machines, knobs["drain_threshold"]))
+            low = draining.underused(machines, knobs["drain_threshold"])
+            self.drains_cancelled += bool(low)
+            if low:
+                self.cluster.listener.machine(low[0], "drain cancelled", "a task of it has no place elsewhere", now)
             return
         self.drains_begun += 1
         choice.machine.draining = "underused"
         self.cluster.to_record.add(choice.machine)
+        self.cluster.listener.machine(choice.machine, "draining", f"{len(choice.moves)} tasks move", now)
         for attempt, target in choice.moves:
             attempt.job.prefer[attempt.task] = target
-            self.cluster.stop(attempt, attempt.job.spec.save_s)
+            self.cluster.stop(attempt, attempt.job.spec.save_s, "its machine is drained")
 
     def _needed(self, machine: Machine, now: float) -> bool:
         """Whether a waiting task would go there; thrifty ones wait for cheaper room."""
@@ -443,7 +490,7 @@
                 continue
             for attempt in list(machine.attempts.values()):
                 if attempt.wanted and not self._finishes(attempt, machine.notice_at, now):
-                    self.cluster.stop(attempt, attempt.job.spec.save_s)
+                    self.cluster.stop(attempt, attempt.job.spec.save_s, "the cloud takes its machine")
 
     def _finishes(self, attempt: Attempt, at: float, now: float) -> bool:
         if attempt.job.spec.estimate_s <= 0:
--- a/pepperlatch/policy/prerequisites.py
+++ b/pepperlatch/policy/prerequisites.py
@@ -51,6 +51,10 @@
     _links: dict[str, _Link] = field(default_factory=dict)  # of unfinished jobs
     _standing: dict[str, Standing] = field(default_factory=dict)  # if here, so are those of all dependents
 
+    def unfinished(self) -> Iterable[str]:
+        """Jobs that are not over, as far as their descriptions are known."""
+        return self._links
+
     # --- changes ----------------------------------------------------------------------------------
 
     def add(self, job_id: str, needs: Iterable[str], own: Standing, run_s: float) -> set[str]:
--- a/pepperlatch/policy/quota.py
+++ b/pepperlatch/policy/quota.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from pepperlatch.policy.model import EPS, Job
+from pepperlatch.policy.reasons import Reason, Why
 from pepperlatch.protocol.wire import JobSpec, Kind
 from pepperlatch.settings import Team
 
@@ -45,6 +46,19 @@
         ]
         return max(0, min(rooms, default=spec.tasks))
 
+    def at_limit(self, spec: JobSpec) -> Reason:
+        """The limit that leaves no room for another task of the job, with what counts against it."""
+        team, used, hidden = self.teams.get(spec.team), self.of(spec.team), self.hidden.get(spec.team, Use())
+        if team is None:
+            return Reason(Why.LIMIT, team=spec.team, unit="CPUs")
+        if spec.gpus > 0 and used.gpus + hidden.gpus + spec.gpus > team.gpus_max + EPS:
+            gpus = used.gpus + hidden.gpus
+            return Reason(
+                Why.LIMIT, team=team.name, unit="GPUs", used=gpus, most=team.gpus_max, unseen=hidden.gpus
+            )  # fmt: skip
+        cpus = used.cpus + hidden.cpus
+        return Reason(Why.LIMIT, team=team.name, unit="CPUs", used=cpus, most=team.cpus_max, unseen=hidden.cpus)
+
     def over_guarantee(self, team_name: str) -> bool:
         team, used = self.teams.get(team_name), self.of(team_name)
         return team is None or used.cpus > team.cpus + EPS or used.gpus > team.gpus + EPS
--- a/pepperlatch/protocol/http/client.py
+++ b/pepperlatch/protocol/http/client.py
@@ -27,6 +27,20 @@
     ) -> tuple[int, Any]: ...
 
 
+def _unpacked(data: bytes) -> bytes:
+    """Raises h11.RemoteProtocolError if it is not what it says, or larger than any answer."""
+    import zlib
+
+    unpacker = zlib.decompressobj(16 + zlib.MAX_WBITS)
+    try:
+        plain = unpacker.decompress(data, c.UNPACKED_BYTES)
+    except zlib.error as error:
+        raise h11.RemoteProtocolError(f"not gzip: {error}") from None
+    if unpacker.unconsumed_tail or not unpacker.eof:
+        raise h11.RemoteProtocolError("compressed answer cut off, or too large")
+    return plain
+
+
 @dataclass(slots=True)
 class _Link:
     stream: trio.SocketStream
@@ -39,6 +53,8 @@
     """Requests over TCP; connections are kept and used again while they are young."""
 
     most: int
+    gzip: bool = False  # ask for compressed answers
+    received: int = 0  # bytes of bodies, as they came
     _idle: dict[str, list[_Link]] = field(default_factory=dict)
     _open: int = 0
 
@@ -104,12 +120,14 @@
     ) -> tuple[int, str, bytes]:
         conn, stream = link.conn, link.stream
         headers = [("Host", addr), ("Content-Length", str(len(payload))), ("Content-Type", "application/json")]
+        if self.gzip:
+            headers.append(("Accept-Encoding", "gzip"))
         data = conn.send(h11.Request(method=method, target=path, headers=headers)) or b""
         if payload:
             data += conn.send(h11.Data(data=payload)) or b""
         data += conn.send(h11.EndOfMessage()) or b""
         await stream.send_all(data)
-        status, retry_after, answer = 0, "", bytearray()
+        status, retry_after, packed, answer = 0, "", False, bytearray()
         while True:
             event = conn.next_event()
             if event is h11.NEED_DATA:
@@ -117,10 +135,12 @@
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 retry_after = next((v.decode("ascii") for name, v in event.headers if name == b"retry-after"), "")
+                packed = any(name == b"content-encoding" and v == b"gzip" for name, v in event.headers)
             elif isinstance(event, h11.Data):
                 answer += event.data
             elif isinstance(event, h11.EndOfMessage):
-                return status, retry_after, bytes(answer)
+                self.received += len(answer)
+                return status, retry_after, _unpacked(bytes(answer)) if packed else bytes(answer)
             elif isinstance(event, h11.ConnectionClosed):
                 raise h11.RemoteProtocolError("closed before the answer")
 
--- a/pepperlatch/protocol/http/server.py
+++ b/pepperlatch/protocol/http/server.py
@@ -20,12 +20,13 @@
     method: str
     path: str
     body: bytes
+    gzip: bool = False  # whether the answer may be compressed
 
 
 @dataclass(slots=True)
 class Response:
     status: int
-    body: Any = None
+    body: Any = None  # written as JSON; bytes as they are, with a Content-Type among the headers
     headers: dict[str, str] = field(default_factory=dict)
 
 
@@ -113,7 +114,8 @@
                 if len(body) > c.MAX_BODY_BYTES:
                     raise _too_large()
             elif isinstance(event, h11.EndOfMessage):
-                return Request(head.method.decode("ascii"), head.target.decode("ascii", "replace"), bytes(body))
+                method, target = head.method.decode("ascii"), head.target.decode("ascii", "replace")
+                return Request(method, target, bytes(body), _takes_gzip(head))
             else:
                 return None
 
@@ -132,8 +134,9 @@
     async def _write(
         self, conn: h11.Connection, stream: trio.abc.Stream, response: Response, close: bool = False
     ) -> None:
-        payload = b"" if response.body is None else orjson.dumps(response.body)
-        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(payload)))]
+        payload = response.body if isinstance(response.body, bytes) else _json(response.body)
+        headers = [] if "Content-Type" in response.headers else [("Content-Type", "application/json")]
+        headers.append(("Content-Length", str(len(payload))))
         headers += list(response.headers.items())
         if close:
             headers.append(("Connection", "close"))
@@ -145,6 +148,22 @@
             await stream.send_all(data)
 
 
+def _json(body: Any) -> bytes:
+    return b"" if body is None else orjson.dumps(body)
+
+
+def _takes_gzip(head: h11.Request) -> bool:
+    return any(name == b"accept-encoding" and b"gzip" in value for name, value in head.headers)
+
+
+def compressed(payload: bytes) -> bytes:
+    """For clients that say they read gzip."""
+    import zlib
+
+    packer = zlib.compressobj(c.COMPRESS_LEVEL, zlib.DEFLATED, 16 + zlib.MAX_WBITS)  # 16: in gzip's own wrapping
+    return packer.compress(payload) + packer.flush()
+
+
 _OTHER_VERSION = re.compile(r"HTTP/((?!1\.)\d[\d.]*)")
 
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -9,23 +9,42 @@
 from pepperlatch import features
 from pepperlatch.controller.leadership import Term
 from pepperlatch.controller.parts import Parts
+from pepperlatch.policy.events import Nobody
 from pepperlatch.protocol.http.server import Request, Response
 from tests.fakes import World, job, story
 
 
+class Listening(Nobody):
+    """Raises when a task starts, having heard of its job."""
+
+    def __init__(self, heard: list[str]) -> None:
+        self.heard = heard
+
+    def job(self, job_id: str, what: str, now: float) -> None:
+        self.heard.append(f"{job_id} {what}")
+
+    def started(self, attempt: Any, now: float) -> None:
+        raise ValueError("a mistake")
+
+
 class Faulty:
     """Raises wherever it is called, or never returns."""
 
     name, prefix, paths = "faulty", "x/", ("/faulty", "/work/run-000001")
+    operators_paths = ("/admin/faulty",)
 
     def __init__(self, core: Any) -> None:
         self.led: list[int] = []
+        self.heard: list[str] = []
 
     async def handle(self, request: Request) -> Response:
         if request.path.endswith("hang"):
             await trio.sleep_forever()
         raise ValueError("a mistake")
 
+    def listen(self, leader: Any) -> Any:
+        return Listening(self.heard)
+
     async def run(self) -> None:
         raise ValueError("a mistake")
 
@@ -44,6 +63,8 @@
     async def tell(world: World) -> None:
         assert (await world.ask(0, "GET", "/faulty/x"))[0] == 500
         assert (await world.ask(0, "GET", "/faultyx"))[0] == 404
+        assert (await world.send("admin", "10.0.0.0:2", "GET", "/admin/faulty", None, 5.0))[0] == 500
+        assert (await world.send("admin", "10.0.0.0:2", "GET", "/admin/view", None, 5.0))[0] == 200
         async with trio.open_nursery() as nursery:
             nursery.start_soon(world.ask, 0, "GET", "/faulty/hang")
             assert (await world.submit(job(1)))[0] == 201  # and a part takes no path of the jobs
@@ -55,6 +76,8 @@
             while await world.status(job(1)) != "done":
                 await trio.sleep(1.0)
         assert sum(len(set(each.led)) for each in made) == 2  # told of both terms, and it did no harm
+        heard = [said for each in made for said in each.heard]
+        assert set(heard) == {"run-000001 ready"}  # told no more once it raised
         assert not [key for key in world.state.keys if key.startswith("x/")]
 
     story(tell, parts=(part,))
