--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -3,7 +3,6 @@
 import logging
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -15,13 +14,13 @@
 from pepperlatch.controller.admin import Admin
 from pepperlatch.controller.leader import Leader
 from pepperlatch.controller.leadership import Leadership, Term, hold_seconds
-from pepperlatch.controller.owner import Owner, Reply
+from pepperlatch.controller.owner import Owner
 from pepperlatch.controller.parts import Core, Part, Parts, Told
 from pepperlatch.controller.peers import PEER_FENCE, PEER_INSPECT, Peers
+from pepperlatch.controller.reports import PEER_BEAT, Contact, Reports
 from pepperlatch.controller.store import Replica, Watched
 from pepperlatch.controller.users import Progress, Users
-from pepperlatch.policy.cluster import BEGAN
-from pepperlatch.policy.model import Status, split_task
+from pepperlatch.policy.model import Status
 from pepperlatch.policy.reasons import Reason, Why
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.cloud import CloudClient, CloudTrouble
@@ -33,24 +32,7 @@
 from pepperlatch.settings import Peer, Settings, split_address
 
 log = logging.getLogger(__name__)
-PEER_BEAT, PEER_CONTACT, PEER_BAR, PEER_HEALTH = "/peer/beat", "/peer/contact", "/peer/bar", "/peer/health"
-
-
-@dataclass(slots=True)
-class _Sent:
-    """When a worker was last sent to the leader, and until when its reports are passed on instead."""
-
-    at: float
-    relay_until: float = -1.0
-
-
-@dataclass(slots=True)
-class _Contact:
-    """The last answer from the leader: when it was asked for, under which token, and what it said of jobs."""
-
-    at: float = float("-inf")
-    token: int = 0
-    jobs: dict[str, list[Any]] = field(default_factory=dict)
+PEER_CONTACT, PEER_BAR, PEER_HEALTH = "/peer/contact", "/peer/bar", "/peer/health"
 
 
 class PeerMessage(msgspec.Struct):
@@ -87,21 +69,19 @@
         hold_s = hold_seconds(params.workers.cancel_s, params.workers.lease_s)
         self.leadership = Leadership(settings.node, self.state, self.replica, hold_s, clock, seed)
         self.owner = Owner(self._settle, c.TICK_S / 5)
+        self.reports = Reports(
+            settings, network, clock, self.owner, self.replica, self.watched, self.state, hold_s, lambda: self.leader
+        )
         self.users = Users(settings, self.watched, self.state, wall, self._progress)
         self.admin = Admin(self.watched, self.state, self.view)
         core = Core(
             settings, self.users, self.watched, self.state, wall, clock, network, lambda: self.leader,
-            lambda: Told(self._contact.at, self._progress),
+            lambda: Told(self.reports.contact.at, self._progress),
         )  # fmt: skip
         self.parts = Parts([part(core) for part in parts])
         self.leader: Leader | None = None
         self._nursery: trio.Nursery | None = None
-        self._sent: dict[str, _Sent] = {}
-        self._contact = _Contact()
-        self._began_at = clock()
-        self._barred_until = float("-inf")
         self._peer_answered_at = float("-inf")
-        self._stood_in: dict[str, float] = {}  # machines answered in the leader's place, and when
         self._peers_good = False
 
     # --- life -------------------------------------------------------------------------------------
@@ -111,7 +91,7 @@
             self._nursery = nursery
             loops = (
                 self.owner.run, self.watched.watch, self.watched.serve_syncs, self.users.create_loop,
-                self._contact_loop, self._health_loop, self._types_loop, self.parts.run,
+                self._contact_loop, self._health_loop, self._homes_loop, self._types_loop, self.parts.run,
             )  # fmt: skip
             for loop in loops:
                 nursery.start_soon(loop)
@@ -148,7 +128,7 @@
         if request.path == wire.HEALTH:
             return self._health()
         if request.path == wire.REPORT and request.method == "POST":
-            return await self._beat(request.body)
+            return await self.reports.beat(request.body)
         if request.path.startswith(wire.JOBS):
             return await self.users.handle(request)
         return await self.parts.handle(request) or await self.users.handle(request)
@@ -166,92 +146,6 @@
         """For another node that gets no answers: what we got a while ago may have been before the outage."""
         return self._clock() - self.state.good_at < c.STATE_FRESH_S or await self.state.answers()
 
-    async def _beat(self, body: bytes) -> Response:
-        try:
-            report = wire.convert(orjson.loads(body), Report)
-        except (orjson.JSONDecodeError, msgspec.ValidationError) as error:
-            return Response(400, {"error": str(error)})
-        if self.leader is not None:
-            return await self._lead_beat(report)
-        held = self.replica.leader
-        if held is None or held[0] == self.settings.node:
-            return Response(503, {"error": "nobody leads"})
-        if self._leader_answers() and self._sent_away(report.machine):
-            return Response(421, wire.misdirected(held[0]))
-        return await self._relay(held[0], report, body)
-
-    async def _lead_beat(self, report: Report) -> Response:
-        leader = self.leader
-        reply: Reply[dict[str, Any] | None] = Reply()
-        if leader is not None and not self.owner.full():
-            self.owner.post(lambda: leader.on_beat(report, reply))
-            with trio.move_on_after(c.RELAY_S):
-                answer = await reply.get()
-                if answer is not None:
-                    return Response(200, answer)
-        return Response(503, {"error": "not entitled to answer"})
-
-    def _leader_answers(self) -> bool:
-        """Whether a worker may be sent to it: a try at a silent leader costs the worker five seconds of its lease."""
-        return self._clock() - self._contact.at < c.LEADER_SILENT_S
-
-    def _sent_away(self, machine: str) -> bool:
-        """Whether the worker is to be sent to the leader; one that is soon back could not reach it."""
-        now = self._clock()
-        sent = self._sent.get(machine)
-        if sent is None or (now - sent.at > c.RELAY_AFTER_S and now > sent.relay_until):
-            self._sent[machine] = _Sent(now)
-            return True
-        if now > sent.relay_until:
-            sent.relay_until = now + c.RELAY_STICKY_S
-        return False
-
-    async def _relay(self, leader: str, report: Report, body: bytes) -> Response:
-        """Pass a report on, so that a zone that cannot reach the leader lives on."""
-        peer = self._peer(leader)
-        if peer is not None:
-            try:
-                status, answer = await self._network.request(
-                    peer.addr, "POST", PEER_BEAT, orjson.loads(body), c.RELAY_S
-                )
-                if status == 200:
-                    return Response(200, answer)
-            except (NotSent, Lost):
-                pass
-        if self._may_stand_in(report):
-            return self._stand_in(report)
-        self._sent.pop(report.machine, None)
-        return Response(421, {})
-
-    def _may_stand_in(self, report: Report) -> bool:
-        """While neither the leader nor the state service can be reached, workers' leases are kept alive for it.
-
-        For as long as the leader itself might: counted from the last proof that it leads, and from when
-        we last asked it and were answered, which is what it reckons with. Never while a promise to it
-        holds, never for workers that another leader has commanded since.
-        """
-        now, held = self._clock(), self.replica.leader
-        contact = self._contact
-        return (
-            held is not None
-            and held[1] == contact.token == report.token
-            and now - self.watched.current_at > c.STATE_AWAY_S
-            and now > self._barred_until
-            and now - self.watched.current_at < self.leadership.hold_s
-            and now - contact.at < self.leadership.hold_s
-        )
-
-    def _stand_in(self, report: Report) -> Response:
-        """No orders but to stop what this node knows to be over."""
-        self._stood_in[report.machine] = self._clock()
-        orders = []
-        for task in report.tasks:
-            parts = split_task(task.task)
-            entry = self.replica.jobs.get(parts[0]) if parts else None
-            if entry is not None and entry.state in wire.FINAL and task.state is not wire.TaskState.EXITED:
-                orders.append(wire.kill(task.task, task.attempt, 0.0))
-        return Response(200, wire.report_answer(report.token, orders))
-
     def _peer(self, node: str) -> Peer | None:
         return next((p for p in self.settings.peers if p.node == node), None)
 
@@ -260,7 +154,7 @@
     async def handle_peer(self, request: Request) -> Response:
         if request.path == PEER_BEAT and request.method == "POST":
             try:
-                return await self._lead_beat(wire.convert(orjson.loads(request.body), Report))
+                return await self.reports.lead(wire.convert(orjson.loads(request.body), Report))
             except (orjson.JSONDecodeError, msgspec.ValidationError) as error:
                 return Response(400, {"error": str(error)})
         if request.path == PEER_CONTACT and request.method == "POST":
@@ -270,7 +164,8 @@
         if request.path == PEER_BAR and request.method == "POST":
             return self._on_bar(request.body)
         if request.path == PEER_HEALTH:
-            return Response(200, {"state": self.replica.loaded and await self._state_answers()})
+            state = self.replica.loaded and await self._state_answers()
+            return Response(200, {"state": state, "leader": self.reports.hears_leader()})
         return await self.parts.handle(request, operators=True) or await self.admin.handle(request)
 
     def _on_contact(self, body: bytes) -> Response:
@@ -293,18 +188,11 @@
         )
 
     def _on_bar(self, body: bytes) -> Response:
-        """The leader is in touch: no standing in for a while. It is told for which machines we did, how long ago."""
+        """The leader is in touch."""
         message = _message(body)
         if message is None:
             return Response(400, {"error": "wanted: node and token"})
-        now = self._clock()
-        for name in message.relay:
-            self._sent[name] = _Sent(now, now + c.RELAY_STICKY_S)
-        self._barred_until = now + c.STAND_IN_BAR_S
-        oldest = now - 2 * self.settings.params.workers.lease_s
-        self._stood_in = {name: at for name, at in self._stood_in.items() if at > oldest}
-        ages = {name: round(now - at, 3) for name, at in self._stood_in.items()}
-        return Response(200, {BEGAN: round(now - self._began_at, 3), **ages})
+        return Response(200, self.reports.barred(message.relay))
 
     def _progress(self, job_id: str) -> Progress | None:
         if self.leader is not None:
@@ -312,11 +200,11 @@
             if job is None:
                 return None
             return Progress(job.running(), len(job.done), job.reason, self._clock() - job.reason_since)
-        row = self._contact.jobs.get(job_id)
+        row = self.reports.contact.jobs.get(job_id)
         if not row:
             return None
         reason = Reason(Why.UNKNOWN, said=row[2])  # the leader's own words, whatever its version
-        return Progress(row[0], row[1], reason, row[3] + self._clock() - self._contact.at)
+        return Progress(row[0], row[1], reason, row[3] + self._clock() - self.reports.contact.at)
 
     async def _contact_loop(self) -> None:
         while True:
@@ -342,7 +230,7 @@
         sent = self._clock()
         answer = await self._ask_peer(peer, PEER_CONTACT, token)
         if answer is not None:
-            self._contact = _Contact(sent, token, answer)
+            self.reports.contact = Contact(sent, token, answer)
 
     async def _bar(self, leader: Leader, peer: Peer) -> None:
         """Counted from before the question, the promise is shorter for us than for the one that gave it."""
@@ -373,6 +261,23 @@
             answers = [await self._peer_good(peer) for peer in self.settings.peers]
             self._peers_good = any(answers)
 
+    async def _homes_loop(self) -> None:
+        """Workers that report here are sent back to their own zone once a controller there hears the leader."""
+        while True:
+            await trio.sleep(c.HOME_EVERY_S)
+            wanted = self.reports.routes.look(self._clock())
+            async with trio.open_nursery() as nursery:
+                for peer in (p for p in self.settings.peers if p.node in wanted):
+                    nursery.start_soon(self._ask_home, peer)
+
+    async def _ask_home(self, peer: Peer) -> None:
+        try:
+            status, answer = await self._network.request(peer.addr, "GET", PEER_HEALTH, None, c.PROBE_S)
+            hears = status == 200 and bool(answer.get("leader"))
+        except (NotSent, Lost, AttributeError):
+            hears = False
+        self.reports.routes.heard(peer.node, hears, self._clock())
+
     async def _peer_good(self, peer: Peer) -> bool:
         try:
             status, answer = await self._network.request(peer.addr, "GET", PEER_HEALTH, None, c.PROBE_S)
--- a/pepperlatch/controller/health.py
+++ b/pepperlatch/controller/health.py
@@ -1,21 +1,39 @@
 """Machines that do not answer: fenced after taking over, asked about when silent, given up in the end."""
 
 import contextlib
+import heapq
+from collections import Counter
 from collections.abc import Callable
 
 import trio
 
 from pepperlatch.constants import core as c
+from pepperlatch.constants import zones as z
 from pepperlatch.controller.duty import Duty
 from pepperlatch.controller.peers import Peers
 from pepperlatch.policy import fleet
 from pepperlatch.policy.cluster import SILENT
 from pepperlatch.policy.model import Machine, Status
+from pepperlatch.policy.zones import Seen, Zones
 from pepperlatch.protocol.http.client import Lost, NotSent
 from pepperlatch.protocol.wire import Report
 from pepperlatch.protocol.workers import WorkerClient
 
 
+class Portion:
+    """How many machines of lost zones may be given up in one look: a few at once, and only if room is needed."""
+
+    def __init__(self, zones: Zones, needed: bool) -> None:
+        self._zones = zones
+        self._left = z.PORTION if needed else 0
+
+    def allows(self, zone: str) -> bool:
+        if not self._zones.cut(zone):
+            return True
+        self._left -= 1
+        return self._left >= 0
+
+
 class Health:
     def __init__(
         self, duty: Duty, workers: WorkerClient, peers: Peers, on_report: Callable[[Report, bool], None]
@@ -68,18 +86,24 @@
 
     def look(self, now: float, sure: bool) -> None:
         cluster, planner = self._duty.cluster, self._duty.planner
-        planner.look_for_dark_zones(now)
         silent = self._silent(now)
-        for machine in silent:
+        self._look_at_zones(silent, now)
+        for machine in self._worth_asking(silent):
             if not machine.probing:
                 machine.probing = True
                 self._duty.spawn(self._probe, machine)
-        many = len(silent) > max(1, c.SILENT_MANY_SHARE * len(cluster.machines))
+        elsewhere = sum(1 for m in silent if not planner.zones.kept(m.zone, now))
+        many = elsewhere > max(1, c.SILENT_MANY_SHARE * len(cluster.machines))
+        portion = Portion(planner.zones, bool(planner.needs))
         for machine in cluster.machines.values():
+            kept = planner.zones.kept(machine.zone, now)
             overdue = machine.status is Status.BOOTING and now - machine.born > fleet.patience_s(machine.type)
-            if overdue:
+            if overdue and not kept:
                 cluster.release(machine, "never came up")
-            elif machine.status is Status.UP and sure and self._given_up(machine, many, now):
+            elif (
+                machine.status is Status.UP and sure and not kept and self._given_up(machine, many, now)
+                and portion.allows(machine.zone)
+            ):  # fmt: skip
                 cluster.release(machine, SILENT)
             if any(not a.wanted for a in machine.attempts.values()):
                 cluster.touched.add(machine)
@@ -90,6 +114,30 @@
         if now >= planner.look_after and (planner.needs or any(j.waiting for j in cluster.jobs.values())):
             cluster.dirty = True
 
+    def _look_at_zones(self, silent: list[Machine], now: float) -> None:
+        cluster, settings = self._duty.cluster, self._duty.settings
+        up = Counter(m.zone for m in cluster.machines.values() if m.status is Status.UP)
+        lost = Counter(m.zone for m in silent)
+        answers: dict[str, bool] = {settings.zone: True}
+        for peer in settings.peers:
+            heard_at = max(cluster.peer_heard.get(peer.node, cluster.started), cluster.started)
+            answers[peer.zone] = answers.get(peer.zone, False) or now - heard_at <= z.ANSWER_S
+        for zone in settings.params.zones:
+            self._duty.planner.look_at_zone(zone, Seen(up[zone], lost[zone], answers.get(zone)), now)
+
+    def _worth_asking(self, silent: list[Machine]) -> list[Machine]:
+        """All, but a few only of a zone that is cut off: those that were asked least."""
+        zones, out = self._duty.planner.zones, []
+        cut: dict[str, list[Machine]] = {}
+        for machine in silent:
+            if zones.cut(machine.zone) and machine.name not in self._duty.cluster.unaccounted:
+                cut.setdefault(machine.zone, []).append(machine)
+            else:
+                out.append(machine)
+        for machines in cut.values():
+            out += heapq.nsmallest(z.PROBES, machines, key=lambda m: (m.probes + m.probes_unheard, m.name))
+        return out
+
     def _silent(self, now: float) -> list[Machine]:
         """Not heard of for long; sooner right after taking over, for fencing has just asked every machine."""
         cluster, report_s = self._duty.cluster, self._duty.settings.params.workers.report_s
@@ -121,10 +169,15 @@
             report = await self._workers.inspect(machine.addr)
         through_others, heard = False, True
         if report is None and (machine.probes + 1 >= c.SILENT_PROBES or machine.seen_at < 0):
-            report, heard = await self._peers.inspect(machine.addr)
+            report, heard = await self._peers.inspect(machine.addr, self._reached())
             through_others = report is not None
         self._duty.owner.post(lambda: self._probed(machine, report, through_others, heard))
 
+    def _reached(self) -> list[str]:
+        """Machines that others should reach if they reach any: asked too by one that does not reach the silent one."""
+        up = (m for m in self._duty.cluster.machines.values() if m.status is Status.UP and m.seen_at >= 0)
+        return [m.addr for m in heapq.nlargest(c.WITNESS_ASKS, up, key=lambda m: (m.seen_at, m.name))]
+
     def _probed(self, machine: Machine, report: Report | None, through_others: bool, heard: bool) -> None:
         machine.probing = False
         if through_others:  # its reports are passed on, see Cluster.relayed
--- a/pepperlatch/controller/peers.py
+++ b/pepperlatch/controller/peers.py
@@ -1,7 +1,7 @@
 """Reaching workers through other controllers, when a cut lies between them and the leader."""
 
+import contextlib
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 import msgspec
 import orjson
@@ -20,6 +20,7 @@
 
 class InspectMessage(msgspec.Struct):
     addr: str
+    others: list[str] = []  # machines that the leader hears of
 
 
 class FenceMessage(msgspec.Struct):
@@ -41,10 +42,11 @@
 
     # --- asking others ----------------------------------------------------------------------------
 
-    async def inspect(self, addr: str) -> tuple[Report | None, bool]:
+    async def inspect(self, addr: str, others: list[str]) -> tuple[Report | None, bool]:
         """Whether a machine that we cannot reach is alive: others may reach it. All are asked at once.
 
-        Also whether any of them answered at all: if none did, their silence says nothing of the machine.
+        Also whether any of them can tell: one that does not answer, or reaches none of the `others` either, cannot
+        (one of an earlier version does not say that).
         """
         found: list[Report] = []
         heard = 0
@@ -53,13 +55,13 @@
             nonlocal heard
             try:
                 status, answer = await self._network.request(
-                    peer.addr, "POST", PEER_INSPECT, {"addr": addr}, 2 * c.PROBE_S
+                    peer.addr, "POST", PEER_INSPECT, {"addr": addr, "others": others}, c.PROBE_S * 2.5
                 )
-                heard += 1
+                heard += status == 200 or bool(answer.get("reaches", True))
                 if status == 200:
                     found.append(wire.convert(answer, Report))
                     nursery.cancel_scope.cancel()
-            except (NotSent, Lost, msgspec.ValidationError):
+            except (NotSent, Lost, msgspec.ValidationError, AttributeError):
                 return
 
         async with trio.open_nursery() as nursery:
@@ -87,17 +89,41 @@
     # --- being asked ------------------------------------------------------------------------------
 
     async def serve(self, request: Request) -> Response:
-        tell: Callable[[bytes], Awaitable[Any]] = self._fence if request.path == PEER_FENCE else self._inspect
+        tell: Callable[[bytes], Awaitable[Response]] = self._fence if request.path == PEER_FENCE else self._inspect
         try:
-            return Response(200, wire.to_plain(await tell(request.body)))
+            return await tell(request.body)
         except (orjson.JSONDecodeError, msgspec.ValidationError, SettingsError) as error:
             return Response(400, {"error": str(error)})
+
+    async def _inspect(self, body: bytes) -> Response:
+        message = wire.convert(orjson.loads(body), InspectMessage)
+        try:
+            return Response(200, wire.to_plain(await self._workers.inspect(message.addr)))
         except (NotSent, Lost) as error:
-            return Response(504, {"error": str(error)})
+            return Response(504, {"error": str(error), "reaches": await self._reaches(message.others)})
+
+    async def _reaches(self, others: list[str]) -> bool:
+        """Whether any of these machines answers us: else we are cut off from them all, and cannot tell of one."""
+        reached = False
 
-    async def _inspect(self, body: bytes) -> Report:
-        return await self._workers.inspect(wire.convert(orjson.loads(body), InspectMessage).addr)
+        async def ask(addr: str) -> None:
+            nonlocal reached
+            with contextlib.suppress(NotSent, Lost, SettingsError):
+                await self._workers.inspect(addr)
+                reached = True
+                nursery.cancel_scope.cancel()
 
-    async def _fence(self, body: bytes) -> Fenced:
+        async with trio.open_nursery() as nursery:
+            for addr in others[: c.WITNESS_ASKS]:
+                nursery.start_soon(ask, addr)
+        return reached
+
+    async def _fence(self, body: bytes) -> Response:
         message = wire.convert(orjson.loads(body), FenceMessage)
-        return Fenced(*await self._workers.command(message.addr, message.token, message.session, [], c.FENCE_TRY_S))
+        try:
+            executed, report = await self._workers.command(
+                message.addr, message.token, message.session, [], c.FENCE_TRY_S
+            )
+        except (NotSent, Lost) as error:
+            return Response(504, {"error": str(error)})
+        return Response(200, wire.to_plain(Fenced(executed, report)))
--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -66,6 +66,7 @@
         self._next = 0
         self.started = now
         self.stand_ins: dict[str, StandIn] = {}
+        self.peer_heard: dict[str, float] = {}  # when another controller last answered us
         self.listener: Listener = Nobody()
 
     # --- jobs -------------------------------------------------------------------------------------
@@ -441,6 +442,7 @@
         It remembers only what its present process did: that began so long ago as stands under BEGAN. Without it (an
         earlier version) the promise counts for nothing, and only time does.
         """
+        self.peer_heard[peer] = now
         other, began_s = self.stand_ins.get(peer), stood_in.get(BEGAN)
         if other is not None and began_s is not None:
             other.barred_until = until
--- a/pepperlatch/policy/planner.py
+++ b/pepperlatch/policy/planner.py
@@ -16,6 +16,7 @@
 from pepperlatch.policy.reasons import Reason, Why
 from pepperlatch.policy.supply import Spare
 from pepperlatch.policy.tuning import Tuning
+from pepperlatch.policy.zones import Seen, Zones
 from pepperlatch.protocol.wire import RANK, JobSpec, Kind, Priority
 
 log = logging.getLogger(__name__)
@@ -29,7 +30,8 @@
     blocked: dict[Offer, float] = field(default_factory=dict)  # refused offers, until when
     pauses: dict[Offer, float] = field(default_factory=dict)
     asked: Counter[Offer] = field(default_factory=Counter)  # machines of hires on their way
-    dark: dict[str, float] = field(default_factory=dict)  # zones that are cut off, and when last seen so
+    zones: Zones = field(default_factory=Zones)
+    dark: set[str] = field(default_factory=set)  # zones where nothing is rented
     drained_at: float = 0.0
     drains_begun: int = 0
     drains_cancelled: int = 0  # rounds in which an underused machine could not be drained
@@ -388,24 +390,14 @@
         boot_s = max((kind.boot_s for kind in self.cluster.types.values()), default=0.0)
         return 1 + max(0, int((self._patience_s(job, now) - boot_s) // (job.spec.estimate_s * c.ESTIMATE_CAUTION)))
 
-    def look_for_dark_zones(self, now: float) -> None:
-        """A zone most of whose machines fell silent is cut off: what is rented there would cost and never report.
-
-        It is tried again once a machine there is heard of, or after a while.
-        """
-        for zone in self.cluster.params.zones:
-            up = [m for m in self.cluster.machines.values() if m.zone == zone and m.status is Status.UP]
-            silent = sum(1 for m in up if now - max(m.seen_at, self.cluster.started) > self.fresh_s())
-            if len(up) >= c.DARK_LEAST and silent >= c.DARK_SHARE * len(up):
-                if zone not in self.dark:
-                    said = f"{silent} of {len(up)} machines are silent"
-                    log.info("zone %s is dark: %s", zone, said)
-                    self.cluster.listener.noted("dark", f"zone {zone}: {said}", now)
-                self.dark[zone] = now
-            elif zone in self.dark and (len(up) > silent or now - self.dark[zone] > c.DARK_S):
-                log.info("zone %s is tried again", zone)
-                self.cluster.listener.noted("dark", f"zone {zone} is tried again", now)
-                del self.dark[zone]
+    def look_at_zone(self, name: str, seen: Seen, now: float) -> None:
+        """Take in what is seen of a zone; nothing is rented where it would cost and never report."""
+        changed = self.zones.look(name, seen, now)
+        self.dark = self.zones.dark(now)
+        if changed is not None:
+            said = f"zone {name} is {changed.value}: {seen.silent} of {seen.up} machines are silent"
+            log.info("%s", said)
+            self.cluster.listener.noted("dark", said, now)
 
     def refused(self, offer: Offer, now: float) -> None:
         pause = min(c.NO_CAPACITY_PAUSE_MOST_S, max(c.NO_CAPACITY_PAUSE_S, self.pauses.get(offer, 0.0) * 2))
@@ -425,6 +417,7 @@
             m
             for m in self.cluster.machines.values()
             if m.status is Status.UP and not m.attempts and m.idle_since is not None
+            and not self.zones.kept(m.zone, now)
         ]
         out = []
         for machine in sorted(idle, key=self.spare.worth):
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -17,6 +17,7 @@
 from pepperlatch.policy.model import Job, Machine, Status
 from pepperlatch.policy.planner import Planner
 from pepperlatch.policy.tuning import Tuning
+from pepperlatch.policy.zones import Seen
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.http.server import Request
 from pepperlatch.protocol.state import Outcome
@@ -136,13 +137,11 @@
     machines = [machine(f"n-{n}", "ab"[n % 2]) for n in range(8)]
     planner = planner_of(machines, job(1, pieces=90))
     for one in machines:
-        one.seen_at = 100.0 if one.zone == "b" else 10.0
         one.free_cpus = 0.0
-    planner.look_for_dark_zones(100.0)
+    planner.look_at_zone("a", Seen(4, 4, False), 100.0)
     planner.place_all(100.0)
     assert {offer.zone for offer in planner.rent(100.0)} == {"b"}
-    machines[0].seen_at = machines[2].seen_at = machines[4].seen_at = 101.0
-    planner.look_for_dark_zones(101.0)
+    planner.look_at_zone("a", Seen(4, 0, True), 101.0)
     planner.place_all(101.0)
     assert {offer.zone for offer in planner.rent(101.0)} == {"a"}
 
