--- a/pepperlatch/constants/core.py
+++ b/pepperlatch/constants/core.py
@@ -90,6 +90,8 @@
 HOME_LOOK_S: Final = 10.0  # s; so long after the last of these; longer than a report interval
 HOME_HEARS_S: Final = 2.5  # s; two of these questions may be lost
 LEASE_MARGIN_S: Final = 0.3  # s; on top of a lease before its tasks count as gone, for timers that fire late
+IMAGE_USES_MOST: Final = 8000  # uses remembered, about 1 MB; several images on each of thousands of machines
+IMAGE_USES_TOLD: Final = 400  # uses in one answer, 16 KB; a whole fleet is told in a few seconds
 ATTEMPT_SHIFT: Final = 24  # bits; 16 million attempts under one token
 
 # --- cloud ----------------------------------------------------------------------------------------
--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -20,6 +20,7 @@
 from pepperlatch.controller.reports import PEER_BEAT, Contact, Reports
 from pepperlatch.controller.store import Replica, Watched
 from pepperlatch.controller.users import Progress, Users
+from pepperlatch.policy.images import ImageMemory
 from pepperlatch.policy.model import Status
 from pepperlatch.policy.reasons import Reason, Why
 from pepperlatch.protocol import wire
@@ -32,6 +33,7 @@
 from pepperlatch.settings import Peer, Settings, split_address
 
 log = logging.getLogger(__name__)
+IMAGES = "images"  # among the rows of jobs, whose ids all begin with run-
 PEER_CONTACT, PEER_BAR, PEER_HEALTH = "/peer/contact", "/peer/bar", "/peer/health"
 
 
@@ -39,6 +41,7 @@
     node: str
     token: int
     relay: list[str] = []  # machines that the leader reaches only through others
+    images: int = 0  # the last number of an image's use that the leader has told
 
 
 def _message(body: bytes) -> PeerMessage | None:
@@ -79,6 +82,8 @@
             lambda: Told(self.reports.contact.at, self._progress),
         )  # fmt: skip
         self.parts = Parts([part(core) for part in parts])
+        self.images = ImageMemory()
+        self._images_told = (0, 0)  # by the leader with this token, up to this number of its own
         self.leader: Leader | None = None
         self._nursery: trio.Nursery | None = None
         self._peer_answered_at = float("-inf")
@@ -104,7 +109,7 @@
             return
         self.leader = Leader(
             self.settings, term, self.replica, self.state, self.cloud, self.workers, self.owner,
-            self._clock, self._wall, self.peers,
+            self._clock, self._wall, self.peers, self.images,
         )  # fmt: skip
         self.leader.cluster.listener = self.parts.listener(self.leader)
         if self._nursery is not None:
@@ -177,15 +182,13 @@
             return Response(404, {"error": "does not lead"})
         now = self._clock()
         leader.cluster.answered_peer(asked.node, now)
-        jobs = leader.cluster.jobs.values()
-        return Response(
-            200,
-            {
-                j.spec.id: [j.running(), len(j.done), j.reason.text(), round(now - j.reason_since, 1), j.reason.kind]
-                for j in jobs
-                if not j.over
-            },
-        )
+        jobs: dict[str, Any] = {
+            j.spec.id: [j.running(), len(j.done), j.reason.text(), round(now - j.reason_since, 1), j.reason.kind]
+            for j in leader.cluster.jobs.values() if not j.over
+        }  # fmt: skip
+        if uses := self.images.after(asked.images):
+            jobs[IMAGES] = uses
+        return Response(200, jobs)
 
     def _on_bar(self, body: bytes) -> Response:
         """The leader is in touch."""
@@ -228,8 +231,10 @@
 
     async def _contact_leader(self, peer: Peer, token: int) -> None:
         sent = self._clock()
-        answer = await self._ask_peer(peer, PEER_CONTACT, token)
+        told = self._images_told[1] if self._images_told[0] == token else 0
+        answer = await self._ask_peer(peer, PEER_CONTACT, token, images=told)
         if answer is not None:
+            self._images_told = (token, max(told, self.images.learn(answer.pop(IMAGES, []))))
             self.reports.contact = Contact(sent, token, answer)
 
     async def _bar(self, leader: Leader, peer: Peer) -> None:
@@ -242,10 +247,10 @@
             self.owner.post(lambda: leader.cluster.on_promise(peer.node, answer, until, self._clock()))
 
     async def _ask_peer(
-        self, peer: Peer, path: str, token: int, relay: list[str] | None = None
+        self, peer: Peer, path: str, token: int, relay: list[str] | None = None, images: int = 0
     ) -> dict[str, Any] | None:
         try:
-            body = {"node": self.settings.node, "token": token, "relay": relay or []}
+            body = {"node": self.settings.node, "token": token, "relay": relay or [], "images": images}
             status, answer = await self._network.request(peer.addr, "POST", path, body, c.PROBE_S)
         except (NotSent, Lost):
             return None
--- a/pepperlatch/controller/health.py
+++ b/pepperlatch/controller/health.py
@@ -72,6 +72,7 @@
                 machine.addr, self._duty.term.token, session, [], c.FENCE_TRY_S
             )
         except (NotSent, Lost):
+            machine.fence_failed = True
             fenced = await self._peers.fence(machine.addr, machine.zone, self._duty.term.token, session)
             executed, report, through_others = fenced.executed, fenced.report, True
         self._duty.owner.post(lambda: self._fenced(machine, report, through_others))
@@ -146,6 +147,8 @@
             if machine.status is not Status.UP:
                 continue
             fenced = machine.seen_at < 0 and machine.name in cluster.unaccounted
+            if fenced and not machine.fence_failed:
+                continue  # hundreds are fenced one after the other: its turn has not come
             patience_s = c.FENCE_SILENT_S if fenced else c.SILENT_REPORTS * report_s
             if now - max(machine.seen_at, cluster.started) > patience_s:
                 out.append(machine)
--- a/pepperlatch/controller/leader.py
+++ b/pepperlatch/controller/leader.py
@@ -19,6 +19,7 @@
 from pepperlatch.controller.store import Replica
 from pepperlatch.controller.writer import Writer
 from pepperlatch.policy.cluster import Cluster
+from pepperlatch.policy.images import ImageMemory
 from pepperlatch.policy.model import Machine, Status
 from pepperlatch.policy.planner import Planner
 from pepperlatch.policy.tuning import Tuning
@@ -40,7 +41,7 @@
 
     def __init__(
         self, settings: Settings, term: Term, replica: Replica, state: StateClient, cloud: CloudClient,
-        workers: WorkerClient, owner: Owner, clock: Clock, wall: Clock, peers: Peers,
+        workers: WorkerClient, owner: Owner, clock: Clock, wall: Clock, peers: Peers, images: ImageMemory,
     ) -> None:  # fmt: skip
         self.settings = settings
         self.term = term
@@ -52,6 +53,7 @@
         self.wall = wall
         now = clock()
         self.cluster = Cluster(settings.node, term.token, settings.params, now, term.hold_s, self._spec_if_over)
+        self.cluster.images = images
         self.planner = Planner(self.cluster, Tuning(replica.tuning[0]))
         self._tuning_version = replica.tuning[1]
         self.writer = Writer(state, term, settings.params.state.txn_ops)
@@ -108,6 +110,7 @@
         for pair in pairs:
             if pair.key.startswith(store.MACHINE):
                 self._load_machine(pair.key[len(store.MACHINE) :], wire.convert(pair.value, store.MachineRecord), now)
+        cluster.remember()
         for pair in pairs:
             if pair.key.startswith(store.HIRE):
                 self._rentals.repeat_hire(pair.key[len(store.HIRE) :], wire.convert(pair.value, store.HireRecord))
--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -13,6 +13,7 @@
 from pepperlatch.constants import core as c
 from pepperlatch.policy import reasons
 from pepperlatch.policy.events import Listener, Nobody
+from pepperlatch.policy.images import ImageMemory
 from pepperlatch.policy.model import Attempt, Job, Machine, Phase, Status, split_task
 from pepperlatch.policy.quota import Quota, Use
 from pepperlatch.policy.reasons import Reason
@@ -67,6 +68,7 @@
         self.started = now
         self.stand_ins: dict[str, StandIn] = {}
         self.peer_heard: dict[str, float] = {}  # when another controller last answered us
+        self.images = ImageMemory()
         self.listener: Listener = Nobody()
 
     # --- jobs -------------------------------------------------------------------------------------
@@ -281,13 +283,22 @@
             if state in (TaskState.RUNNING, TaskState.WAITING) and attempt.running_at is None:
                 attempt.running_at = now
                 attempt.job.ran = True
-                attempt.machine.used_image(attempt.job.spec)
+                self._used_image(attempt.machine, attempt.job.spec)
                 self.listener.started(attempt, now)
                 if not attempt.job.waiting:
                     self.explain(attempt.job, reasons.RUNNING, now)
             elif state is TaskState.FETCHING and not attempt.job.waiting and not attempt.job.ran:
                 self.explain(attempt.job, reasons.fetching(attempt.job.spec), now)
 
+    def _used_image(self, machine: Machine, spec: JobSpec) -> None:
+        machine.used_image(spec.image, spec.image_gb)
+        self.images.used(machine.name, spec.image, spec.image_gb)
+
+    def remember(self) -> None:
+        """What an earlier leader knew of the machines' images; a guess, until tasks are seen running."""
+        for _, machine, image, gb in list(self.images.on(self.machines)):
+            self.machines[machine].used_image(image, gb)
+
     def _absent(self, machine: Machine, key: Key, attempt: Attempt, seq: int, beat: bool, now: float) -> None:
         """Not in the newest report. Only a launch sent in a report's answer is disproved by that.
 
--- a/pepperlatch/policy/model.py
+++ b/pepperlatch/policy/model.py
@@ -138,6 +138,7 @@
     probes: int = 0
     probes_unheard: int = 0  # when no other controller answered either
     probing: bool = False
+    fence_failed: bool = False  # a try to show it our token got no answer
     relay_until: float = float("-inf")  # only others reach it
     sending: bool = False
     send_after: float = 0.0
@@ -211,10 +212,10 @@
     def fetches_image(self, spec: JobSpec) -> bool:
         return spec.image in self.fetches()
 
-    def used_image(self, spec: JobSpec) -> None:
+    def used_image(self, image: str, gb: float) -> None:
         """Keep the same most-recently-used list as the worker does."""
-        self.images.pop(spec.image, None)
-        self.images[spec.image] = spec.image_gb
+        self.images.pop(image, None)
+        self.images[image] = gb
         while sum(self.images.values()) > self.type.cache_gb and len(self.images) > 1:
             self.images.pop(next(iter(self.images)))
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -212,7 +212,7 @@
     assert drained([low, far], now=100.0) is None
     run_on(near, new_job(3, cores=4.0), 0, since=99.0)
     assert drained([low, far, near], now=100.0) is None, "it would be away while its image is fetched"
-    near.used_image(board.spec)
+    near.used_image(board.spec.image, board.spec.image_gb)
     choice = drained([low, far, near], now=100.0)
     assert choice is not None and choice.moves[0][1] is near
 
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -65,7 +65,7 @@
 def test_tasks_that_may_use_spot_machines_go_there_before_they_go_to_their_image() -> None:
     dear, cheap = machine("dear"), machine("cheap", spot=True)
     sweep, board = spec_of(1, loaners=True), spec_of(2, shape="daemon")
-    dear.used_image(sweep)
+    dear.used_image(sweep.image, sweep.image_gb)
     for spec, best in ((sweep, cheap), (board, dear)):
         one = Job(spec, 1, 0.0, False)
         assert placement.Candidates(one, [dear, cheap], ZONES, lambda m: True, 250.0).best() is best
@@ -81,7 +81,7 @@
         "small", wire.MachineType("m4", 4.0, 0.0, 16.0, 20.0, 1.0, 0.6, 0.2, 9.0, ["a"]), "a", True, "", Status.UP, 0.0
     )
     alert = Job(spec_of(1, loaners=True), 1, 0.0, False)
-    large.used_image(alert.spec)
+    large.used_image(alert.spec.image, alert.spec.image_gb)
     assert placement.Candidates(alert, [large, small], ZONES, lambda m: True, 12.0).best() is small
     assert placement.Candidates(alert, [large, small], ZONES, lambda m: True, 0.5).best() is large, "no time to fetch"
 
@@ -191,7 +191,7 @@
     board.waiting.clear()
     for one in idle:
         one.idle_since = 0.0
-    idle[0].used_image(board.spec)
+    idle[0].used_image(board.spec.image, board.spec.image_gb)
     run_on(planner.cluster.machines["busy"], Job(spec_of(9, cores=8.0), 1, 0.0, False), 0)
     for one in planner.cluster.machines.values():
         one.seen_at = one.reached_at = 100.0
