--- a/pepperlatch/constants/zones.py
+++ b/pepperlatch/constants/zones.py
@@ -7,6 +7,7 @@
 SILENT_SHARE_ALONE: Final = 0.8  # share; in a zone without controllers nothing else tells a cut from deaths
 BACK_SHARE: Final = 0.25  # share still silent; well below the share that made it lost, so that it does not flap
 BACK_S: Final = 15.0  # s; about a lease: until then a machine that was cut off may still be finding its way
+BACK_KEEP_S: Final = 6.0  # s; a worker loses five on each controller that it cannot reach, and tries the next
 ANSWER_S: Final = 2.5  # s; three of the leader's questions to each controller, the last of which may be on its way
 DOUBT_S: Final = 2.0  # s; before nothing is rented in a zone whose controller answers: it may be the leader that lags
 KEEP_S: Final = 90.0  # s; a machine costs about its least charge again to replace, besides its boot and its images
--- a/pepperlatch/controller/health.py
+++ b/pepperlatch/controller/health.py
@@ -87,8 +87,9 @@
 
     def look(self, now: float, sure: bool) -> None:
         cluster, planner = self._duty.cluster, self._duty.planner
-        silent = self._silent(now)
-        self._look_at_zones(silent, now)
+        quiet = self._quiet(now)
+        self._look_at_zones(quiet, now)
+        silent = [m for m in quiet if m.seen_at >= 0 or m.fence_failed or m.name not in cluster.unaccounted]
         for machine in self._worth_asking(silent):
             if not machine.probing:
                 machine.probing = True
@@ -115,10 +116,10 @@
         if now >= planner.look_after and (planner.needs or any(j.waiting for j in cluster.jobs.values())):
             cluster.dirty = True
 
-    def _look_at_zones(self, silent: list[Machine], now: float) -> None:
+    def _look_at_zones(self, quiet: list[Machine], now: float) -> None:
         cluster, settings = self._duty.cluster, self._duty.settings
         up = Counter(m.zone for m in cluster.machines.values() if m.status is Status.UP)
-        lost = Counter(m.zone for m in silent)
+        lost = Counter(m.zone for m in quiet)
         answers: dict[str, bool] = {settings.zone: True}
         for peer in settings.peers:
             heard_at = max(cluster.peer_heard.get(peer.node, cluster.started), cluster.started)
@@ -139,16 +140,17 @@
             out += heapq.nsmallest(z.PROBES, machines, key=lambda m: (m.probes + m.probes_unheard, m.name))
         return out
 
-    def _silent(self, now: float) -> list[Machine]:
-        """Not heard of for long; sooner right after taking over, for fencing has just asked every machine."""
+    def _quiet(self, now: float) -> list[Machine]:
+        """Not heard of for long; sooner right after taking over, for fencing asks every machine.
+
+        Hundreds are fenced one after the other: one whose turn has not come tells of its zone, but not of itself.
+        """
         cluster, report_s = self._duty.cluster, self._duty.settings.params.workers.report_s
         out = []
         for machine in cluster.machines.values():
             if machine.status is not Status.UP:
                 continue
             fenced = machine.seen_at < 0 and machine.name in cluster.unaccounted
-            if fenced and not machine.fence_failed:
-                continue  # hundreds are fenced one after the other: its turn has not come
             patience_s = c.FENCE_SILENT_S if fenced else c.SILENT_REPORTS * report_s
             if now - max(machine.seen_at, cluster.started) > patience_s:
                 out.append(machine)
--- a/pepperlatch/policy/zones.py
+++ b/pepperlatch/policy/zones.py
@@ -95,4 +95,6 @@
         zone = self.of.get(name)
         if zone is None or zone.state not in (State.CUT, State.BACK):
             return False
-        return zone.state is State.BACK or now - zone.cut_at < c.KEEP_S
+        if zone.state is State.BACK:  # one that died meanwhile must not hold up what waits for all to be accounted for
+            return now - zone.since < c.BACK_KEEP_S
+        return now - zone.cut_at < c.KEEP_S
