A report is parsed once, witnesses are looked up once a look; a parameter that nothing used goes

Behaviour as before. The list of machines that others should reach was made anew for each silent machine, over all machines: in a storm of hundreds, when the leader has least to spare. Carrying parsed each report a second time, and again at every try.

--- a/pepperlatch/controller/health.py
+++ b/pepperlatch/controller/health.py
@@ -43,6 +43,7 @@
         self._peers = peers
         self._on_report = on_report
         self._fencing = trio.CapacityLimiter(c.FENCE_AT_ONCE)
+        self._reached: list[str] = []  # looked up once a look, not once a machine
 
     # --- fencing ----------------------------------------------------------------------------------
 
@@ -90,6 +91,8 @@
         quiet = self._quiet(now)
         self._look_at_zones(quiet, now)
         silent = [m for m in quiet if m.seen_at >= 0 or m.fence_failed or m.name not in cluster.unaccounted]
+        if silent:
+            self._reached = self._last_heard()
         for machine in self._worth_asking(silent):
             if not machine.probing:
                 machine.probing = True
@@ -174,11 +177,11 @@
             report = await self._workers.inspect(machine.addr)
         through_others, heard = False, True
         if report is None and (machine.probes + 1 >= c.SILENT_PROBES or machine.seen_at < 0):
-            report, heard = await self._peers.inspect(machine.addr, self._reached())
+            report, heard = await self._peers.inspect(machine.addr, self._reached)
             through_others = report is not None
         self._duty.owner.post(lambda: self._probed(machine, report, through_others, heard))
 
-    def _reached(self) -> list[str]:
+    def _last_heard(self) -> list[str]:
         """Machines that others should reach if they reach any: asked too by one that does not reach the silent one."""
         up = (m for m in self._duty.cluster.machines.values() if m.status is Status.UP and m.seen_at >= 0)
         return [m.addr for m in heapq.nlargest(c.WITNESS_ASKS, up, key=lambda m: (m.seen_at, m.name))]
--- a/pepperlatch/controller/reports.py
+++ b/pepperlatch/controller/reports.py
@@ -42,7 +42,6 @@
         self, settings: Settings, network: Network, clock: Clock, owner: Owner, replica: Replica, watched: Watched,
         state: StateClient, hold_s: float, leader: Callable[[], Leader | None],
     ) -> None:  # fmt: skip
-        self._node = settings.node
         self._network = network
         self._clock = clock
         self._owner = owner
@@ -66,26 +65,27 @@
     async def beat(self, body: bytes) -> Response:
         """A worker's report. The answer comes within its patience; cancelled, the report may have been taken in."""
         try:
-            report = wire.convert(orjson.loads(body), Report)
+            plain = orjson.loads(body)
+            report = wire.convert(plain, Report)
         except (orjson.JSONDecodeError, msgspec.ValidationError) as error:
             return Response(400, {"error": str(error)})
         now = self._clock()
         home = self.routes.home(report.machine, report.zone, now)
         if home is not None and self.routes.send(report.machine, now):
             return Response(421, wire.misdirected(home))
-        return await self._take(report, body, now + c.BEAT_PATIENCE_S)
+        return await self._take(report, plain, now + c.BEAT_PATIENCE_S)
 
-    async def _take(self, report: Report, body: bytes, until: float) -> Response:
+    async def _take(self, report: Report, plain: Any, until: float) -> Response:
         """Whoever comes to lead meanwhile has it: a worker that is sent away with no better place to go loses time."""
         while True:
             held = self._replica.leader
             if self._leader() is not None:
                 return await self.lead(report)
             if held is not None and held[0] in self._addr:
-                answer = await self._carry(held[0], report, body, until)
+                answer = await self._carry(held[0], report, plain, until)
                 if answer is not None:
                     return answer
-            elif self.routes.zones[self._node] != report.zone:
+            elif self.routes.zones[self.routes.node] != report.zone:
                 return Response(503, {"error": "nobody leads"})
             if self._clock() + c.BEAT_RETRY_S >= until:
                 return Response(421, {}) if held is not None else Response(503, {"error": "nobody leads"})
@@ -103,7 +103,7 @@
                     return Response(200, answer)
         return Response(503, {"error": "not entitled to answer"})
 
-    async def _carry(self, leader: str, report: Report, body: bytes, until: float) -> Response | None:
+    async def _carry(self, leader: str, report: Report, plain: Any, until: float) -> Response | None:
         """To the leader, so that a zone that cannot reach it lives on; None: there may be a way soon."""
         heard = self._hears_leader()
         if not heard and self._may_stand_in(report):
@@ -111,9 +111,7 @@
         refused = False
         try:
             seconds = min(c.RELAY_S, max(c.BEAT_RETRY_S, until - self._clock()))
-            status, answer = await self._network.request(
-                self._addr[leader], "POST", PEER_BEAT, orjson.loads(body), seconds
-            )
+            status, answer = await self._network.request(self._addr[leader], "POST", PEER_BEAT, plain, seconds)
             if status == 200:
                 return Response(200, answer)
         except NotSent:
--- a/pepperlatch/policy/zones.py
+++ b/pepperlatch/policy/zones.py
@@ -53,10 +53,9 @@
         return True
 
     def _next(self, seen: Seen, now: float) -> State:
-        lost = seen.most() and seen.answers is not True
         if self.state is State.CUT:
-            return self._next_of_cut(seen, lost, now)
-        if lost:
+            return self._next_of_cut(seen, now)
+        if seen.most() and seen.answers is not True:
             return State.CUT
         if self.state is State.BACK:
             return State.BACK if now - self.since < c.BACK_S else State.WHOLE
@@ -64,7 +63,7 @@
             return State.DOUBTFUL
         return State.WHOLE
 
-    def _next_of_cut(self, seen: Seen, lost: bool, now: float) -> State:
+    def _next_of_cut(self, seen: Seen, now: float) -> State:
         if not seen.up:  # nothing of ours is there to tell: it is tried again after a while
             return State.CUT if now - self.told_at < c.TRY_AGAIN_S else State.WHOLE
         return State.BACK if seen.few() or (seen.answers is True and not seen.most()) else State.CUT
