--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -20,6 +20,7 @@
 from pepperlatch.controller.peers import PEER_FENCE, PEER_INSPECT, Peers
 from pepperlatch.controller.store import Replica, Watched
 from pepperlatch.controller.users import Progress, Users
+from pepperlatch.policy.cluster import BEGAN
 from pepperlatch.policy.model import Status, split_task
 from pepperlatch.policy.reasons import Reason, Why
 from pepperlatch.protocol import wire
@@ -97,6 +98,7 @@
         self._nursery: trio.Nursery | None = None
         self._sent: dict[str, _Sent] = {}
         self._contact = _Contact()
+        self._began_at = clock()
         self._barred_until = float("-inf")
         self._peer_answered_at = float("-inf")
         self._stood_in: dict[str, float] = {}  # machines answered in the leader's place, and when
@@ -301,7 +303,8 @@
         self._barred_until = now + c.STAND_IN_BAR_S
         oldest = now - 2 * self.settings.params.workers.lease_s
         self._stood_in = {name: at for name, at in self._stood_in.items() if at > oldest}
-        return Response(200, {name: round(now - at, 3) for name, at in self._stood_in.items()})
+        ages = {name: round(now - at, 3) for name, at in self._stood_in.items()}
+        return Response(200, {BEGAN: round(now - self._began_at, 3), **ages})
 
     def _progress(self, job_id: str) -> Progress | None:
         if self.leader is not None:
--- a/pepperlatch/controller/health.py
+++ b/pepperlatch/controller/health.py
@@ -17,7 +17,9 @@
 
 
 class Health:
-    def __init__(self, duty: Duty, workers: WorkerClient, peers: Peers, on_report: Callable[[Report], None]) -> None:
+    def __init__(
+        self, duty: Duty, workers: WorkerClient, peers: Peers, on_report: Callable[[Report, bool], None]
+    ) -> None:  # fmt: skip
         self._duty = duty
         self._workers = workers
         self._peers = peers
@@ -60,7 +62,7 @@
     def _fenced(self, machine: Machine, report: Report, through_others: bool) -> None:
         if through_others:
             machine.relay_until = self._duty.clock() + c.RELAY_STICKY_S
-        self._on_report(report)
+        self._on_report(report, through_others)
 
     # --- silence ----------------------------------------------------------------------------------
 
@@ -131,4 +133,4 @@
         machine.probes_unheard += not heard
         if report is not None:
             machine.probes = machine.probes_unheard = 0
-            self._on_report(report)
+            self._on_report(report, through_others)
--- a/pepperlatch/controller/leader.py
+++ b/pepperlatch/controller/leader.py
@@ -204,8 +204,8 @@
             return
         self._beats.append((machine, report.seq, reply))
 
-    def _direct_report(self, report: Report) -> None:
-        self.cluster.on_report(report, self.clock(), beat=False)
+    def _direct_report(self, report: Report, through_others: bool = False) -> None:
+        self.cluster.on_report(report, self.clock(), beat=False, through_others=through_others)
         self._after_report()
 
     def _after_report(self) -> None:
@@ -279,14 +279,15 @@
             orders, launched = self.cluster.orders_direct(machine, now)
             if orders:
                 machine.sending = True
-                self._duty.spawn(self._command, machine, orders, launched)
+                self._duty.spawn(self._command, machine, machine.session, orders, launched)
 
-    async def _command(self, machine: Machine, orders: list[dict[str, Any]], launched: list[Any]) -> None:
+    async def _command(self, machine: Machine, session: int, orders: list[dict[str, Any]], launched: list[Any]) -> None:
+        """`session`: the one the orders were made for. A later one must refuse them: what they launch was given up."""
         executed: bool | None = None
         report: Report | None = None
         pause = 0.0
         try:
-            executed, report = await self._workers.command(machine.addr, self.term.token, machine.session, orders)
+            executed, report = await self._workers.command(machine.addr, self.term.token, session, orders)
         except NotSent:
             executed, pause = False, c.COMMAND_S / 2
         except Lost:
--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -23,6 +23,7 @@
 log = logging.getLogger(__name__)
 Key = tuple[str, int]
 SILENT = "silent"
+BEGAN = ""  # in the answer of a node that may stand in: its process's age, among ages under machines' names
 SpecOf = Callable[[str], JobSpec | None]
 
 
@@ -37,6 +38,7 @@
 
     answered_at: float = float("-inf")  # when we last answered its contact
     barred_until: float = float("-inf")  # it promised not to stand in before
+    began_at: float = float("inf")  # its process began no later; what an earlier one did, nobody can tell
 
 
 class Cluster:
@@ -131,8 +133,7 @@
             attempt.kill_grace = grace_s
             attempt.kill_sent = -1.0
         if attempt.phase is Phase.PLANNED:
-            self._remove(attempt, attempt.planned_at, why)
-            self._requeue(attempt)
+            self._lose(attempt, attempt.planned_at, why)
         self.touched.add(attempt.machine)
 
     def undo(self, attempt: Attempt) -> None:
@@ -140,11 +141,20 @@
         self._remove(attempt, attempt.planned_at, "not sent")
         attempt.job.waiting.appendleft(attempt.task)
 
-    def _remove(self, attempt: Attempt, now: float, cause: str) -> None:
-        """The task is proven gone from its machine."""
+    def _lose(self, attempt: Attempt, now: float, cause: str) -> None:
+        """The task is proven gone from its machine, and has to start anew unless it is over.
+
+        Once only: the loss of one task of a gang takes along others that a caller may still have in its list, and
+        a task that waits twice runs twice.
+        """
+        if self._remove(attempt, now, cause):
+            self._requeue(attempt)
+
+    def _remove(self, attempt: Attempt, now: float, cause: str) -> bool:
+        """Whether it was there until now."""
         machine, job = attempt.machine, attempt.job
         if not machine.drop(attempt):
-            return
+            return False
         if job.live.get(attempt.task) is attempt:
             del job.live[attempt.task]
         self.quota.of(job.spec.team).add(job.spec, -1)
@@ -152,6 +162,7 @@
             machine.idle_since = now
         self.dirty = True
         self.listener.ended(attempt, cause, now)
+        return True
 
     def _requeue(self, attempt: Attempt) -> None:
         job = attempt.job
@@ -171,8 +182,12 @@
 
     # --- reports ----------------------------------------------------------------------------------
 
-    def on_report(self, report: Report, now: float, beat: bool) -> Machine | None:
-        """Take in a report; None for machines that are gone or of an unknown type."""
+    def on_report(self, report: Report, now: float, beat: bool, through_others: bool = False) -> Machine | None:
+        """Take in a report; None for machines that are gone or of an unknown type.
+
+        `beat`: it waits for an answer with orders. `through_others`: another controller asked the worker; what
+        we want of it cannot go back that way.
+        """
         if report.token > self.token:
             self.higher_token = True
             return None
@@ -181,12 +196,15 @@
         machine = self.machines.get(report.machine) or self._meet(report, now)
         if machine is None or (report.session, report.seq) <= (machine.session, machine.seq):
             return machine
+        if report.session <= machine.over_session:
+            return machine  # late: nothing that it shows is there any more
         if report.session > machine.session:
             self._all_gone(machine, now, "its worker began anew")
+            machine.began_by = now  # nobody may have answered this session yet: its lease runs from its beginning
         machine.session, machine.seq, machine.addr = report.session, report.seq, report.addr
         machine.seen_at, machine.probes, machine.probes_unheard = now, 0, 0
-        if machine.answered_at < 0:
-            machine.answered_at = now
+        if not through_others:
+            machine.reached_at = now
         if report.notice_s is not None and machine.notice_at is None:
             machine.notice_at = now + report.notice_s
             self.dirty = True
@@ -211,7 +229,9 @@
         if machine.status is Status.BOOTING:
             machine.status = Status.JOINING
             self.to_record.add(machine)
-        if report.token == self.token:
+        if report.token == self.token and not machine.fenced:
+            machine.fenced = True
+            machine.began_by = now  # until then an earlier leader may have answered it
             self._accounted(machine.name, now)
 
     def _accounted(self, name: str, now: float) -> None:
@@ -273,13 +293,11 @@
         A direct launch may still be in flight, for minutes if a cut holds it: it stays "possibly there".
         """
         if attempt.phase is Phase.THERE and key not in machine.sticky:
-            self._remove(attempt, now, "not on its machine any more")
-            self._requeue(attempt)
+            self._lose(attempt, now, "not on its machine any more")
         elif attempt.phase is Phase.SENT and beat and 0 <= attempt.sent_seq < seq and key not in machine.sticky:
             attempt.phase = Phase.PLANNED
             if not attempt.wanted:
-                self._remove(attempt, now, attempt.stopped_for)
-                self._requeue(attempt)
+                self._lose(attempt, now, attempt.stopped_for)
             self.touched.add(machine)
 
     def _adopt(self, machine: Machine, task: TaskReport, now: float) -> Attempt | None:
@@ -369,8 +387,7 @@
         machine.ended.clear()
         self.strays.pop(machine.name, None)
         for attempt in list(machine.attempts.values()):
-            self._remove(attempt, now, why)
-            self._requeue(attempt)
+            self._lose(attempt, now, why)
 
     def remove_machine(self, name: str, now: float) -> None:
         """The cloud has confirmed that the machine is no more."""
@@ -396,11 +413,21 @@
             self.to_release.add(machine.name)
 
     def lease_over(self, machine: Machine, now: float) -> bool:
-        """The worker has surely killed its tasks: no answer, ours or a stand-in's, can have kept its lease alive."""
-        lease_s = self.params.workers.lease_s * (1 + c.CLOCK_DRIFT)
-        last = machine.answered_at if machine.name not in self.unaccounted else self.blind_until - lease_s
-        return now > last + lease_s + c.LEASE_MARGIN_S and all(
-            now <= other.barred_until or now > other.answered_at + self.hold_s + lease_s + c.LEASE_MARGIN_S
+        """Whether the session that we know of has surely ended, with all that was in it or is on its way into it.
+
+        It ends a lease after it began or was last answered, whichever is later: by us, by one that stands in for
+        us, or, as long as the worker has not seen our token, by an earlier leader. What we sent into it counts
+        from its beginning; what an earlier leader sent, from the end of that one's time (`blind_until`).
+        """
+        lease_s = self.params.workers.lease_s * (1 + c.CLOCK_DRIFT) + c.LEASE_MARGIN_S
+        last = machine.answered_at
+        if machine.name not in self.unaccounted:
+            last = max(last, machine.began_by)
+        if not machine.fenced:
+            last = max(last, self.blind_until + c.LEASE_MARGIN_S - lease_s)
+        return now > last + lease_s and all(
+            (now <= other.barred_until and now > other.began_at + lease_s)
+            or now > other.answered_at + self.hold_s + lease_s
             for other in self.stand_ins.values()
         )
 
@@ -409,10 +436,15 @@
         self.stand_ins.setdefault(peer, StandIn()).answered_at = now
 
     def on_promise(self, peer: str, stood_in: dict[str, float], until: float, now: float) -> None:
-        """The other controller will not stand in until then; for whom it did, and how long ago, it tells."""
-        other = self.stand_ins.get(peer)
-        if other is not None:
+        """The other controller will not stand in until then; for whom it did, and how long ago, it tells.
+
+        It remembers only what its present process did: that began so long ago as stands under BEGAN. Without it (an
+        earlier version) the promise counts for nothing, and only time does.
+        """
+        other, began_s = self.stand_ins.get(peer), stood_in.get(BEGAN)
+        if other is not None and began_s is not None:
             other.barred_until = until
+            other.began_at = now - began_s
         for name, ago_s in stood_in.items():
             machine = self.machines.get(name)
             if machine is not None:
@@ -423,6 +455,7 @@
             holds = machine.attempts or machine.name in self.unaccounted
             if holds and machine.status in (Status.UP, Status.LEAVING) and self.lease_over(machine, now):
                 log.info("the lease of %s is over", machine.name, extra={"machine": machine.name})
+                machine.over_session = machine.session  # what was sent into it can never be carried out
                 self._all_gone(machine, now, "its machine's lease is over")
                 self._accounted(machine.name, now)
                 self.dirty = True
@@ -488,8 +521,7 @@
             else:
                 attempt.phase = Phase.PLANNED
                 if not attempt.wanted:
-                    self._remove(attempt, now, attempt.stopped_for)
-                    self._requeue(attempt)
+                    self._lose(attempt, now, attempt.stopped_for)
         if executed is not True:
             for attempt in machine.attempts.values():
                 attempt.kill_sent = -1.0
--- a/pepperlatch/policy/model.py
+++ b/pepperlatch/policy/model.py
@@ -118,8 +118,12 @@
     images: dict[str, float] = field(default_factory=dict)  # fetched, most recently used last
     session: int = 0
     seq: int = -1
-    seen_at: float = -1.0
-    answered_at: float = -1.0
+    seen_at: float = -1.0  # last report, however it came
+    reached_at: float = -1.0  # last report that came with a way back: a beat, or an answer to a question of ours
+    fenced: bool = False  # a report has shown our token: no earlier leader commands or answers it any more
+    began_by: float = -1.0  # its known session had begun by then, and its worker had our token if it has it
+    answered_at: float = -1.0  # a report of it was last answered: by us, or by a stand-in as far as we were told
+    over_session: int = -1  # sessions up to this one are surely over
     hire: str | None = None
     up_at: float | None = None
     idle_since: float | None = None
--- a/pepperlatch/policy/placement.py
+++ b/pepperlatch/policy/placement.py
@@ -10,13 +10,17 @@
 
 
 def usable(machine: Machine, now: float, fresh_s: float) -> bool:
-    """Takes new tasks: up, recorded, heard of lately, not on its way out."""
+    """Takes new tasks: up, recorded, reached lately, in a session that lasts, not on its way out.
+
+    What only others hear of can neither be answered nor commanded: a launch sent there is held, and comes late.
+    """
     return (
         machine.status is Status.UP
         and machine.draining is None
         and not machine.quarantined
         and machine.notice_at is None
-        and now - machine.seen_at <= fresh_s
+        and machine.session > machine.over_session
+        and now - machine.reached_at <= fresh_s
     )
 
 
