--- a/tests/meetings/test_other_meetings.py
+++ b/tests/meetings/test_other_meetings.py
@@ -22,7 +22,7 @@
 
 
 def test_a_leader_ends_while_a_machine_is_deaf_and_older_jobs_do_not_wait_for_it() -> None:
-    """It is asked, and returned as a silent one is; its tasks are started anew once that is confirmed, and not before."""
+    """It is asked, and returned as a silent one is; its tasks start anew once that is confirmed, and not before."""
 
     async def tell(world: World) -> None:
         long = job(1, shape="daemon", pieces=3, cores=4.0, expected_s=0.0)
