--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -94,6 +94,7 @@
         self._nursery: trio.Nursery | None = None
         self._peer_answered_at = float("-inf")
         self._peers_good = False  # others have the state service, or are out of reach as it is
+        self._silent_rounds = 0  # in which none of them answered
 
     # --- life -------------------------------------------------------------------------------------
 
@@ -287,7 +288,7 @@
         while True:
             await trio.sleep(c.HEALTH_EVERY_S)
             if self.replica.loaded and self._state_good():
-                self._peers_good = False
+                self._peers_good, self._silent_rounds = False, 0
                 continue
             answers: list[bool | None] = []
 
@@ -297,7 +298,9 @@
             async with trio.open_nursery() as nursery:
                 for peer in self.settings.peers:
                     nursery.start_soon(ask, peer)
-            self._peers_good = any(answers) or (bool(answers) and all(answer is None for answer in answers))
+            silent = bool(answers) and all(answer is None for answer in answers)
+            self._silent_rounds = self._silent_rounds + 1 if silent else 0
+            self._peers_good = any(answers) or self._silent_rounds >= c.ISOLATED_ROUNDS
 
     async def _homes_loop(self) -> None:
         """Workers that report here are sent back to their own zone once a controller there hears the leader."""
