A submission without an answer is written once more before its user gives up

It is conditional on its id being absent, so a second copy is as good. Now tried again after 0.6 s (slow answers take less). Story: a submission without an answer is written once more; before 503 after 1.5 s, now 201 within 1 s.

--- a/pepperlatch/constants/core.py
+++ b/pepperlatch/constants/core.py
@@ -53,6 +53,7 @@
 FINE_CHUNK_TASKS: Final = 4096  # tasks; 683 bytes as base64: fits values of 1 KiB, where a chunk would not fit
 VALUE_SLACK_BYTES: Final = 64  # bytes; kept free in a value for its field names and quotes
 CREATES_AT_ONCE: Final = 3  # transactions of submissions in flight; one slow answer must not hold up all others
+CREATE_TRY_S: Final = 0.6  # s; a submission without an answer is then written once more; slow answers take less
 SUBMIT_WAIT_S: Final = 2.0  # s; then the user is told to come back: the user's own limit is 5 s
 RETRY_AFTER_S: Final = 2  # s; told to a user whose request cannot be taken now
 
--- a/pepperlatch/controller/users.py
+++ b/pepperlatch/controller/users.py
@@ -19,7 +19,7 @@
 from pepperlatch.policy.reasons import Reason, Why
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.http.server import Request, Response
-from pepperlatch.protocol.state import Away, Refused, StateClient, Unsure
+from pepperlatch.protocol.state import Away, Outcome, Refused, StateClient, Unsure
 from pepperlatch.protocol.wire import JobSpec, JobState, Kind, MachineType
 from pepperlatch.settings import Settings
 
@@ -267,7 +267,7 @@
             keys = [store.JOB + s.spec.id for s in batch]
             writes = [change for s in batch for change in s.changes(self._wall())]
             try:
-                outcome = await self._state.txn([wire.when(key, 0) for key in keys], writes)
+                outcome = await self._create_now([wire.when(key, 0) for key in keys], writes)
             except Refused as error:
                 if len(batch) == 1:
                     log.error("%s is refused: %s", keys[0], error)
@@ -287,6 +287,13 @@
                     submission.created = False
             batch = [s for s in batch if s.created is None]
 
+    async def _create_now(self, conditions: list[dict[str, Any]], writes: list[dict[str, Any]]) -> Outcome:
+        """Once more if there is no answer: its user waits, and an id that is there by then is simply known."""
+        try:
+            return await self._state.txn(conditions, writes, seconds=c.CREATE_TRY_S)
+        except Unsure:
+            return await self._state.txn(conditions, writes)
+
     # --- looking up and cancelling ----------------------------------------------------------------
 
     def describe(self, job_id: str, entry: Entry) -> dict[str, Any]:
--- a/pepperlatch/protocol/state.py
+++ b/pepperlatch/protocol/state.py
@@ -154,10 +154,14 @@
         return None if status == 410 else _checked(answer, wire.Changes)
 
     async def txn(
-        self, conditions: list[dict[str, Any]], writes: list[dict[str, Any]], urgent: bool = False
-    ) -> Outcome:
-        """Somebody waits for most of them, so they do not stand in line behind reads, which make up for it."""
-        status, answer = await self._write(wire.txn_body(conditions, writes), len(writes), urgent)
+        self, conditions: list[dict[str, Any]], writes: list[dict[str, Any]], urgent: bool = False,
+        seconds: float = c.STATE_REQUEST_S,
+    ) -> Outcome:  # fmt: skip
+        """Somebody waits for most of them, so they do not stand in line behind reads, which make up for it.
+
+        Unsure after `seconds` without an answer; cancelled, it may be carried out.
+        """
+        status, answer = await self._write(wire.txn_body(conditions, writes), len(writes), urgent, seconds)
         if status == 200:
             return Outcome(wire.revision_of(answer))
         if status == 409:
@@ -168,7 +172,7 @@
             raise Refused(f"transaction: {answer}")
         raise Away(f"transaction: {status} {answer}")
 
-    async def _write(self, body: dict[str, Any], count: int, urgent: bool) -> tuple[int, Any]:
+    async def _write(self, body: dict[str, Any], count: int, urgent: bool, seconds: float) -> tuple[int, Any]:
         """Tried again while the service is busy, as long as an answer may take; cancelled, it may be carried out."""
         until = self._clock() + c.STATE_REQUEST_S
         while True:
@@ -176,7 +180,7 @@
             if wait > 0:
                 await trio.sleep(wait)
             try:
-                return await self._call("POST", wire.TXN, body, urgent=True)
+                return await self._call("POST", wire.TXN, body, seconds, urgent=True)
             except Busy:
                 self._writes.refused(self._clock())
                 if urgent or self._clock() + count / self._writes.rate > until:
--- a/tests/meetings/test_other_meetings.py
+++ b/tests/meetings/test_other_meetings.py
@@ -198,6 +198,28 @@
     story(tell)
 
 
+def test_a_submission_without_an_answer_is_written_once_more_before_its_user_gives_up() -> None:
+    async def tell(world: World) -> None:
+        seen: set[str] = set()
+
+        def late(source: str, path: str, body: Any) -> float:
+            writes = body["writes"] if path == "/txn" else []
+            ids = {w["set"] for w in writes if w.get("set", "").startswith(store.JOB)}
+            new = ids - seen
+            seen.update(ids)
+            return 5.0 if new else 0.0
+
+        world.late = late
+        for number in range(1, 4):
+            begun = trio.current_time()
+            status, _ = await world.submit(job(number, expected_s=3.0), number % 3)
+            assert (status, trio.current_time() - begun < 1.0) == (201, True)
+        await trio.sleep(20.0)
+        assert {world.observer.starts[f"run-00000{n}"] for n in range(1, 4)} == {2}
+
+    story(tell)
+
+
 # --- controllers ------------------------------------------------------------------------------------
 
 
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -344,7 +344,7 @@
     def writes_within(self, seconds: float) -> int:
         return self.share
 
-    async def txn(self, conditions: list[Any], writes: list[Any]) -> Outcome:
+    async def txn(self, conditions: list[Any], writes: list[Any], seconds: float = 1.5) -> Outcome:
         self.asked += 1
         if self.asked == 1:
             await trio.sleep(1.9)
