A successor is vouched for by the one before it, which knows nothing of it yet

Who wins later reckons from its own beginning, so only a later leader counts against the proof; a controller that has read nothing yet is no witness.

--- a/pepperlatch/controller/vouching.py
+++ b/pepperlatch/controller/vouching.py
@@ -75,8 +75,8 @@
             Cancelled(job_id, wire.to_plain(self._replica.jobs[job_id].record), version)
             for version, job_id in (found or [])[: c.VOUCH_MOST]
         ]
-        # Whoever knows a leader has read all keys, and with them what an earlier process of this node told users.
-        whole = found is not None and len(found) <= c.VOUCH_MOST
+        # Whoever has read all keys knows what an earlier process of this node told users.
+        whole = self._replica.loaded and found is not None and len(found) <= c.VOUCH_MOST
         return Statement(token, rows, whole)
 
     # --- asking -----------------------------------------------------------------------------------
@@ -95,11 +95,11 @@
         async with trio.open_nursery() as nursery:
             for peer in self._peers:
                 nursery.start_soon(one, peer)
+        # One that knows an earlier leader only has had no news. Who wins after this reckons from then on.
         if any(statement.token > term.token for statement in statements):
             log.info("another controller knows a later leader than %d", term.token)
             term.over = True
-        same = all(statement.token == term.token and statement.whole for statement in statements)
-        if len(statements) == len(self._peers) and same:
+        elif len(statements) == len(self._peers) and all(statement.whole for statement in statements):
             term.vouched_at = max(term.vouched_at, sent)
 
     async def _ask(self, peer: Peer, question: Question) -> Statement | None:
--- a/tests/meetings/test_vouching.py
+++ b/tests/meetings/test_vouching.py
@@ -61,6 +61,22 @@
     story(tell)
 
 
+def test_a_successor_is_vouched_for_by_the_one_before_it_that_knows_nothing_of_it() -> None:
+    async def tell(world: World) -> None:
+        board = await settled(world)
+        old = world.leader()
+        world.state.refused.add(NODES[old])
+        await trio.sleep(8.0)
+        new = world.leader()
+        assert new != old and world.nodes[old].replica.leader[0] == NODES[old]  # type: ignore[index]
+        world.state.out = True
+        await trio.sleep(3 * CANCEL_S)
+        assert world.leader() == new
+        assert world.running(board) == 3 and world.observer.starts["run-000001"] == 3
+
+    story(tell)
+
+
 def test_what_a_user_was_told_is_known_to_the_one_who_told_it() -> None:
     """Its own reading shows it only later, and that is too late once nothing is answered any more."""
 
