Only the gang whose turn it is holds others up

Cause: every overdue gang, not one a team, kept its team's limit and looked at every machine in each round; in a flood of gangs that costs the round its time. Story: only the gang whose turn it is holds others up.

--- a/pepperlatch/policy/planner.py
+++ b/pepperlatch/policy/planner.py
@@ -44,6 +44,7 @@
     spare: Spare = field(default_factory=Spare)
     inside: set[str] = field(default_factory=set)  # jobs within their team's guarantee
     limits: dict[str, Reason] = field(default_factory=dict)  # teams that were at their limit in this round
+    ahead: list[Job] = field(default_factory=list)  # jobs whose turn it is whatever the order, one a team at the most
     kept: dict[str, Use] = field(default_factory=dict)  # of teams' limits, for gangs that waited long, in this round
 
     # --- placing ----------------------------------------------------------------------------------
@@ -79,7 +80,8 @@
             theirs = sorted((order[place] for place in places), key=lambda j: due[j.spec.id])
             for place, job in zip(places, theirs, strict=True):
                 order[place] = job
-        return turns.overdue_first(order, now)
+        self.ahead = turns.ahead(order, now)
+        return self.ahead + [job for job in order if job not in self.ahead] if self.ahead else order
 
     def place_all(self, now: float) -> None:
         """Start what can start; `needs` keeps what found no room."""
@@ -105,7 +107,7 @@
                 cluster.explain(job, self._pausing(job), now)
             elif job.spec.kind is Kind.GANG:
                 self._place_gang(job, machines, now)
-                if job.waiting and turns.holds(job, now):
+                if job.waiting and job in self.ahead and turns.holds(job, now):
                     held = self._hold_back(job, every)
                     machines = [m for m in machines if m not in held]
             else:
--- a/pepperlatch/policy/turns.py
+++ b/pepperlatch/policy/turns.py
@@ -21,20 +21,17 @@
     return not job.ran and not job.live and not job.failed_on and now - job.since > patience_s
 
 
-def overdue_first(order: list[Job], now: float) -> list[Job]:
-    """Of each team the one that has waited longest goes before all: one, or a crowd of old work would be first."""
+def ahead(order: list[Job], now: float) -> list[Job]:
+    """Of each team the overdue job that has waited longest: one, or a crowd of old work would be first."""
     first: dict[str, Job] = {}
     for job in order:
         if overdue(job, now) and (job.spec.team not in first or job.since < first[job.spec.team].since):
             first[job.spec.team] = job
-    if not first:
-        return order
-    ahead = sorted(first.values(), key=lambda job: job.since)
-    return ahead + [job for job in order if first.get(job.spec.team) is not job]
+    return sorted(first.values(), key=lambda job: job.since)
 
 
 def holds(job: Job, now: float) -> bool:
-    """Whether others leave a gang what comes free. Half of the time only: what it waits for may never come free."""
+    """Whether others leave a gang that is ahead what comes free. Half of the time only: it may never come free."""
     if job.spec.kind is not Kind.GANG or not overdue(job, now):
         return False
     return (now - job.since - c.OVERDUE_GANG_S) % (2 * c.HOLD_BACK_S) < c.HOLD_BACK_S
--- a/tests/gangs/test_turns.py
+++ b/tests/gangs/test_turns.py
@@ -7,6 +7,7 @@
 
 from pepperlatch.constants import core as c
 from pepperlatch.policy import turns
+from pepperlatch.policy.model import Job, Machine
 from tests.cuts.test_sessions import cluster_of, machine
 from tests.fakes import ZONES, World, job, story
 from tests.test_edges import spec_of
@@ -56,6 +57,26 @@
     jobs = [cluster.add_job(spec_of(n, pieces=1), n, float(n), set()) for n in range(1, 5)]
     jobs[0].failed_on.add("n-1")
     jobs[1].ran = True
-    order = turns.overdue_first(list(reversed(jobs)), c.OVERDUE_S + 10)
-    assert [j.version for j in order] == [3, 4, 2, 1]
-    assert turns.overdue_first(jobs, c.OVERDUE_S) == jobs, "nobody is overdue yet"
+    assert [j.version for j in turns.ahead(list(reversed(jobs)), c.OVERDUE_S + 10)] == [3]
+    assert turns.ahead(jobs, c.OVERDUE_S) == [], "nobody is overdue yet"
+
+
+def test_only_the_gang_whose_turn_it_is_holds_others_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Seen on the lab: each of dozens of overdue gangs took a look at every machine, every round."""
+    looks: list[str] = []
+    held_for = turns.held_for
+
+    def counted(job: Job, *more: Any) -> set[Machine]:
+        looks.append(job.spec.id)
+        return held_for(job, *more)
+
+    monkeypatch.setattr(turns, "held_for", counted)
+
+    async def tell(world: World) -> None:
+        world.cloud.capacity.clear()
+        for number in range(1, 9):
+            await world.submit(job(number, shape="group", pieces=4, cores=8.0))
+        await trio.sleep(c.OVERDUE_GANG_S + 10)
+        assert set(looks) == {"run-000001"}
+
+    story(tell)
