--- a/tests/gangs/test_turns.py
+++ b/tests/gangs/test_turns.py
@@ -75,7 +75,7 @@
     async def tell(world: World) -> None:
         world.cloud.capacity.clear()
         for number in range(1, 9):
-            await world.submit(job(number, shape="group", pieces=4, cores=8.0))
+            await world.submit(job(number, shape="group", pieces=2, cores=4.0))
         await trio.sleep(c.OVERDUE_GANG_S + 10)
         assert set(looks) == {"run-000001"}
 
