Revert: a job that has waited long takes its turn

The need stands: in memory a gang of the size of its team's limit had not begun after 300 s under a stream of small jobs.

--- a/pepperlatch/policy/planner.py
+++ b/pepperlatch/policy/planner.py
@@ -8,13 +8,12 @@
 import msgspec
 
 from pepperlatch.constants import core as c
-from pepperlatch.policy import draining, fleet, gangs, placement, quota, reasons, shortage, supply, turns
+from pepperlatch.policy import draining, fleet, gangs, placement, quota, reasons, shortage, supply
 from pepperlatch.policy.cluster import Cluster
 from pepperlatch.policy.draining import lost_work
 from pepperlatch.policy.fleet import Bin, Need, Offer
 from pepperlatch.policy.model import EPS, Attempt, Job, Machine, Phase, Status, allowed_on, fits_type
 from pepperlatch.policy.placement import Candidates
-from pepperlatch.policy.quota import Use
 from pepperlatch.policy.reasons import Reason, Why
 from pepperlatch.policy.supply import Spare
 from pepperlatch.policy.tuning import Tuning
@@ -44,8 +43,6 @@
     spare: Spare = field(default_factory=Spare)
     inside: set[str] = field(default_factory=set)  # jobs within their team's guarantee
     limits: dict[str, Reason] = field(default_factory=dict)  # teams that were at their limit in this round
-    ahead: list[Job] = field(default_factory=list)  # jobs whose turn it is whatever the order, one a team at the most
-    kept: dict[str, Use] = field(default_factory=dict)  # of teams' limits, for gangs that waited long, in this round
 
     # --- placing ----------------------------------------------------------------------------------
 
@@ -80,8 +77,7 @@
             theirs = sorted((order[place] for place in places), key=lambda j: due[j.spec.id])
             for place, job in zip(places, theirs, strict=True):
                 order[place] = job
-        self.ahead = turns.ahead(order, now)
-        return self.ahead + [job for job in order if job not in self.ahead] if self.ahead else order
+        return order
 
     def place_all(self, now: float) -> None:
         """Start what can start; `needs` keeps what found no room."""
@@ -96,10 +92,9 @@
         )
         self.needs = []
         self.limits = {}
-        self.kept = {}
         rebuilt = Reason(Why.REBUILDING, machines=len(cluster.unaccounted), among=len(cluster.machines))
         jobs = self.ordered(now)
-        every, machines = machines, placement.roomy(machines, (j.spec for j in jobs))
+        machines = placement.roomy(machines, (j.spec for j in jobs))
         for job in jobs:
             if rebuilding and job.old:
                 cluster.explain(job, rebuilt, now)
@@ -107,22 +102,10 @@
                 cluster.explain(job, self._pausing(job), now)
             elif job.spec.kind is Kind.GANG:
                 self._place_gang(job, machines, now)
-                if job.waiting and job in self.ahead and turns.holds(job, now):
-                    held = self._hold_back(job, every)
-                    machines = [m for m in machines if m not in held]
             else:
                 self._place_tasks(job, machines, now)
         cluster.dirty = False
 
-    def _hold_back(self, job: Job, machines: list[Machine]) -> set[Machine]:
-        """Those behind it leave it what comes free of its team's limit, and then of these machines."""
-        fits = self._room(job.spec) >= job.spec.tasks
-        self.kept.setdefault(job.spec.team, Use()).add(job.spec, job.spec.tasks)
-        return turns.held_for(job, machines, self.cluster.params.zones) if fits else set()
-
-    def _room(self, spec: JobSpec) -> int:
-        return self.cluster.quota.room(spec, self.kept.get(spec.team))
-
     def _pausing(self, job: Job) -> Reason:
         """It failed on several machines, or a worker had no room for it after all."""
         if job.pause_s > 0:
@@ -131,7 +114,7 @@
 
     def _place_tasks(self, job: Job, machines: list[Machine], now: float) -> None:
         cluster = self.cluster
-        room = self._room(job.spec)
+        room = cluster.quota.room(job.spec)
         if room > 0:
             candidates = self._candidates(job, machines, now)
             while job.waiting and room > 0:
@@ -206,7 +189,7 @@
         if job.live:
             cluster.explain(job, Reason(Why.LEAVING, tasks=len(job.live)), now)
             return
-        if self._room(spec) < spec.tasks:
+        if cluster.quota.room(spec) < spec.tasks:
             cluster.explain(job, self._limited(spec), now)
             return
         candidates = self._candidates(job, machines, now)
