What a controller says of itself is asked for and read in one place

Two methods asked for /peer/health and read the answer, each with its own rule for what cannot be read; _peer_health serves both, with the same outcomes.

--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -318,22 +318,21 @@
                     nursery.start_soon(self._ask_home, peer)
 
     async def _ask_home(self, peer: Peer) -> None:
-        try:
-            status, answer = await self._network.request(peer.addr, "GET", PEER_HEALTH, None, c.PROBE_S)
-            hears = status == 200 and bool(answer.get("leader"))
-        except (NotSent, Lost, AttributeError):
-            hears = False
-        self.reports.routes.heard(peer.node, hears, self._clock())
+        health = await self._peer_health(peer)
+        self.reports.routes.heard(peer.node, health is not None and bool(health.get("leader")), self._clock())
 
     async def _peer_good(self, peer: Peer) -> bool | None:
         """Whether the state service answers it; None if it does not answer us."""
+        health = await self._peer_health(peer)
+        return None if health is None else bool(health.get("state"))
+
+    async def _peer_health(self, peer: Peer) -> dict[str, Any] | None:
+        """What another controller says of itself; nothing good if that cannot be read, None if it does not answer."""
         try:
             status, answer = await self._network.request(peer.addr, "GET", PEER_HEALTH, None, c.PROBE_S)
-            return status == 200 and bool(answer.get("state"))
         except (NotSent, Lost):
             return None
-        except AttributeError:
-            return False
+        return answer if status == 200 and isinstance(answer, dict) else {}
 
     async def _types_loop(self) -> None:
         """A node must know the machine types to decide; once the state service holds them it asks no more."""
