--- a/pepperlatch/console/service.py
+++ b/pepperlatch/console/service.py
@@ -243,7 +243,7 @@
         made = [row for row in found if row is not None]
         held = replica.leader
         now = core.clock()
-        old = now - max(core.watched.current_at, min(told.at, now)) if core.watched.current_at > float("-inf") else None
+        old = now - max(replica.current_at, min(told.at, now)) if replica.current_at > float("-inf") else None
         head = {
             "node": core.settings.node, "version": __version__, "leader": held[0] if held else None,
             "token": held[1] if held else None, "revision": 0, "at": round(wall, 1),
--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -3,6 +3,7 @@
 import logging
 import time
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -78,7 +79,7 @@
         self.leadership = Leadership(settings.node, self.state, self.replica, hold_s, clock, seed)
         self.owner = Owner(self._settle, c.TICK_S / 5)
         self.reports = Reports(
-            settings, network, clock, self.owner, self.replica, self.watched, self.state, hold_s, lambda: self.leader
+            settings, network, clock, self.owner, self.replica, self.state, hold_s, lambda: self.leader
         )
         self.users = Users(settings, self.watched, self.state, wall, self._progress)
         self.admin = Admin(self.watched, self.state, self.view)
@@ -92,7 +93,7 @@
         self.leader: Leader | None = None
         self._nursery: trio.Nursery | None = None
         self._peer_answered_at = float("-inf")
-        self._peers_good = False
+        self._peers_good = False  # others have the state service, or are out of reach as it is
 
     # --- life -------------------------------------------------------------------------------------
 
@@ -102,7 +103,7 @@
             loops = (
                 self.owner.run, self.watched.watch, self.watched.serve_syncs, self.users.create_loop,
                 self._contact_loop, self._health_loop, self._homes_loop, self._types_loop, self.parts.run,
-                self.reports.carrier.run,
+                self.reports.carrier.run, partial(self.watched.keep_current, lambda: self.leader is not None),
             )  # fmt: skip
             for loop in loops:
                 nursery.start_soon(loop)
@@ -145,7 +146,11 @@
         return await self.parts.handle(request) or await self.users.handle(request)
 
     def _health(self) -> Response:
-        """Unhealthy only if the state service refuses this node alone; an outage is everyone's."""
+        """Unhealthy only if this node alone has lost the state service, as far as it can know; an outage is everyone's.
+
+        One that nobody answers, no other controller either, is taken to be cut off itself: it would keep its users for
+        as long as that lasts, and answer each of them that it cannot tell.
+        """
         able = bool(self.replica.types or self.users.types)
         good = (self.replica.loaded and able and self._state_good()) or not self._peers_good
         return Response(200 if good and self.replica.loaded else 503, {"healthy": good})
@@ -229,14 +234,23 @@
                 async with trio.open_nursery() as nursery:
                     for peer in self.settings.peers:
                         nursery.start_soon(self._bar, leader, peer)
-                if self._alone(leader):
-                    log.info("neither workers nor other controllers reach this leader: it hands over")
+                if why := self._cannot_lead(leader):
+                    log.info("%s: it hands over", why)
                     await self.leadership.resign(c.HANDOVER_PAUSE_S)
             elif held is not None and (peer_leads := self._peer(held[0])) is not None:
                 await self._contact_leader(peer_leads, held[1])
 
+    def _cannot_lead(self, leader: Leader) -> str:
+        """Keeping the lease is not enough to lead; why another should."""
+        if self._alone(leader):
+            return "neither workers nor other controllers reach this leader"
+        term = leader.term
+        if term.checked_at - max(self.replica.current_at, term.answered_since) > c.HANDOVER_STALE_S:
+            return "this leader's lease is answered, and its reads are not"
+        return ""
+
     def _alone(self, leader: Leader) -> bool:
-        """Reaching the state service is not enough to lead: reports must come in, directly or passed on."""
+        """Reports must come in, directly or passed on."""
         machines = [m for m in leader.cluster.machines.values() if m.status is Status.UP]
         since = max([leader.cluster.started, self._peer_answered_at, *(m.seen_at for m in machines)])
         return bool(machines) and self._clock() - since > c.HANDOVER_REPORTS * self.settings.params.workers.report_s
@@ -275,8 +289,15 @@
             if self.replica.loaded and self._state_good():
                 self._peers_good = False
                 continue
-            answers = [await self._peer_good(peer) for peer in self.settings.peers]
-            self._peers_good = any(answers)
+            answers: list[bool | None] = []
+
+            async def ask(peer: Peer, answers: list[bool | None] = answers) -> None:
+                answers.append(await self._peer_good(peer))
+
+            async with trio.open_nursery() as nursery:
+                for peer in self.settings.peers:
+                    nursery.start_soon(ask, peer)
+            self._peers_good = any(answers) or (bool(answers) and all(answer is None for answer in answers))
 
     async def _homes_loop(self) -> None:
         """Workers that report here are sent back to their own zone once a controller there hears the leader."""
@@ -295,11 +316,14 @@
             hears = False
         self.reports.routes.heard(peer.node, hears, self._clock())
 
-    async def _peer_good(self, peer: Peer) -> bool:
+    async def _peer_good(self, peer: Peer) -> bool | None:
+        """Whether the state service answers it; None if it does not answer us."""
         try:
             status, answer = await self._network.request(peer.addr, "GET", PEER_HEALTH, None, c.PROBE_S)
             return status == 200 and bool(answer.get("state"))
-        except (NotSent, Lost, AttributeError):
+        except (NotSent, Lost):
+            return None
+        except AttributeError:
             return False
 
     async def _types_loop(self) -> None:
--- a/pepperlatch/controller/leader.py
+++ b/pepperlatch/controller/leader.py
@@ -108,7 +108,9 @@
             elif entry.record.state == entry.state.value:
                 self._records.tidy(job_id)
         for pair in pairs:
-            if pair.key.startswith(store.MACHINE):
+            if pair.key == store.TURN:
+                self.writer.turn = pair.version
+            elif pair.key.startswith(store.MACHINE):
                 self._load_machine(pair.key[len(store.MACHINE) :], wire.convert(pair.value, store.MachineRecord), now)
         cluster.remember()
         for pair in pairs:
@@ -279,7 +281,7 @@
                 self.cluster.touched.add(machine)
                 continue
             orders, launched = self.cluster.orders_direct(machine, now)
-            if orders:
+            if orders or machine.unheard >= c.UNHEARD_MOST:  # without orders it tells whether it hears us again
                 machine.sending = True
                 self._duty.spawn(self._command, machine, machine.session, orders, launched)
 
--- a/pepperlatch/controller/leadership.py
+++ b/pepperlatch/controller/leadership.py
@@ -1,6 +1,7 @@
 """Who leads: a key under a lease of the state service. The token is the revision of its write."""
 
 import logging
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,13 +19,20 @@
 
 @dataclass(slots=True)
 class Term:
-    """One time of leading. `checked_at`: when the last confirmed check was sent."""
+    """One time of leading, with the two proofs that what a leader does rests on.
+
+    Authority: the lease of this token was alive; `checked_at` is when the last confirmed check was sent. Currency: this
+    node's copy holds all that was confirmed before a moment (`Replica.current_at`). A touch of the lease proves the
+    first and says nothing of the second: the answers of a watch may be lost or slow while touches are answered.
+    """
 
     token: int
     lease: int
     checked_at: float
     hold_s: float
+    replica: store.Replica
     over: bool = False
+    answered_since: float = -math.inf  # no gap in the checks since then
 
     def sure(self, now: float) -> bool:
         """The lease cannot have ended yet: what cannot be taken back is allowed."""
@@ -33,11 +41,21 @@
         )
 
     def may_answer(self, now: float) -> bool:
-        """Reports may be answered: whatever we keep alive is gone before a cancellation's bound."""
-        return not self.over and now - self.checked_at < self.hold_s
+        """Reports may be answered and tasks launched: whatever we keep alive is gone before a cancellation's bound.
+
+        Seen: a leader refused by the state service kept jobs alive, and started them anew, that were cancelled through
+        others, as soon as it could touch its lease again: its copy was older than that.
+        """
+        return not self.over and now < keeps_alive_until(self.hold_s, self.checked_at, self.replica.current_at)
+
+
+def keeps_alive_until(hold_s: float, *proved_at: float) -> float:
+    """How long leases may be renewed on proofs that were sent at these moments: the oldest one counts."""
+    return min(proved_at) + hold_s
 
 
 def hold_seconds(cancel_s: float, lease_s: float) -> float:
+    """G of `docs/safety.md` 6: what is answered so long after a proof is gone within `cancel_s` of that proof."""
     return max(0.0, (cancel_s - lease_s * (1 + c.CLOCK_DRIFT)) * (1 - c.CLOCK_DRIFT) - c.HOLD_MARGIN_S)
 
 
@@ -101,7 +119,7 @@
         if not outcome.applied:
             await self._state.revoke(lease)
             return None
-        return Term(outcome.revision, lease, sent, self.hold_s)
+        return Term(outcome.revision, lease, sent, self.hold_s, replica)
 
     async def _end_earlier(self, token: int) -> None:
         """The key names this node, which does not lead: a term of the process before this one, or one given up.
@@ -120,17 +138,28 @@
             log.info("lease %d could not be given back; it will end by itself", lease)
 
     async def _keep(self, term: Term) -> None:
-        """Touch the lease until it is lost; nothing but a proof of loss ends a term."""
-        while not term.over:
-            sent = self._clock()
-            try:
-                await self._state.touch(term.lease, c.LEADER_TOUCH_S)
-                term.checked_at = sent
-                await trio.sleep(c.LEADER_TOUCH_S)
-            except LeaseGone:
-                return
-            except (Away, Unsure):
-                await trio.sleep(c.STATE_RETRY_S)
+        """Touch the lease until it is lost; nothing but a proof of loss ends a term.
+
+        A touch does not wait for the one before: while every answer takes a second, one that gives up after half of it
+        would never prove what the service grants all the time.
+        """
+        async with trio.open_nursery() as nursery:
+            while not term.over:
+                nursery.start_soon(self._touch, term)
+                await trio.sleep(c.LEADER_TOUCH_S if self._state.reachable() else c.STATE_RETRY_S)
+            nursery.cancel_scope.cancel()
+
+    async def _touch(self, term: Term) -> None:
+        sent = self._clock()
+        try:
+            await self._state.touch(term.lease, c.LEADER_LEASE_MS / 1000)
+            if sent - term.checked_at > c.LEADER_LEASE_MS / 1000:
+                term.answered_since = sent
+            term.checked_at = max(term.checked_at, sent)
+        except LeaseGone:
+            term.over = True
+        except (Away, Unsure):
+            return
 
     def check_key(self) -> None:
         """Called after every change of the replica: a key that is not ours any more ends the term."""
--- a/pepperlatch/controller/reports.py
+++ b/pepperlatch/controller/reports.py
@@ -12,8 +12,9 @@
 from pepperlatch.constants import core as c
 from pepperlatch.controller.carrying import Carrier
 from pepperlatch.controller.leader import Leader
+from pepperlatch.controller.leadership import keeps_alive_until
 from pepperlatch.controller.owner import Owner, Reply
-from pepperlatch.controller.store import Replica, Watched
+from pepperlatch.controller.store import Replica
 from pepperlatch.policy.cluster import BEGAN
 from pepperlatch.policy.model import split_task
 from pepperlatch.policy.routes import Routes
@@ -39,14 +40,13 @@
 
 class Reports:
     def __init__(
-        self, settings: Settings, network: Network, clock: Clock, owner: Owner, replica: Replica, watched: Watched,
+        self, settings: Settings, network: Network, clock: Clock, owner: Owner, replica: Replica,
         state: StateClient, hold_s: float, leader: Callable[[], Leader | None],
     ) -> None:  # fmt: skip
         self.carrier = Carrier(network)
         self._clock = clock
         self._owner = owner
         self._replica = replica
-        self._watched = watched
         self._state = state
         self._hold_s = hold_s
         self._leader = leader
@@ -165,8 +165,7 @@
             and held[1] == contact.token == report.token
             and not self._state_here()
             and now > max(self._barred_until, self._began_at + c.STAND_IN_BAR_S)
-            and now - self._watched.current_at < self._hold_s
-            and now - contact.at < self._hold_s
+            and now < keeps_alive_until(self._hold_s, self._replica.current_at, contact.at)
         )
 
     def _stand_in(self, report: Report) -> Response:
--- a/pepperlatch/controller/store.py
+++ b/pepperlatch/controller/store.py
@@ -9,6 +9,7 @@
 """
 
 import base64
+import contextlib
 import math
 import re
 import sys
@@ -34,6 +35,7 @@
 FINE = "j/fine/"
 PART = "j/part/"
 FLEET = "f/"
+TURN = "f/turn"
 HIRE = "f/hire/"
 MACHINE = "f/machine/"
 
@@ -90,6 +92,7 @@
 
     revision: int = 0
     loaded: bool = False
+    current_at: float = -math.inf  # it holds all that was confirmed before: when the read that proved that was sent
     jobs: dict[str, Entry] = field(default_factory=dict)
     done: dict[str, dict[int, tuple[bytes, int]]] = field(default_factory=dict)  # chunks, as every version writes them
     fine: dict[str, dict[int, tuple[bytes, int]]] = field(default_factory=dict)  # finer ones, for small values
@@ -120,8 +123,11 @@
         return touched
 
     def apply(self, changes: wire.Changes) -> set[str]:
+        """Several reads may be under way: what an earlier answer told is known, and may have been deleted since."""
         touched: set[str] = set()
         for event in changes.events:
+            if event.version <= self.revision:
+                continue
             if event.put is not None:
                 touched |= self._put(event.put, event.value, event.version)
             elif event.delete is not None:
@@ -350,6 +356,14 @@
     return Saving(f"{prefix}{job_id}/{chunk}", version, bitmap(tasks, chunk * size, size), tasks)
 
 
+@dataclass(slots=True, eq=False)
+class _Sync:
+    """Somebody who waits for a read that begins later than now."""
+
+    settled: trio.Event = field(default_factory=trio.Event)
+    good: bool = False
+
+
 class Watched:
     """Keeps the replica current, and answers reads that must not be older than their question."""
 
@@ -357,10 +371,8 @@
         self._state = state
         self.replica = replica
         self._on_change = on_change
-        self._waiting: list[trio.Event] = []
+        self._waiting: list[_Sync] = []
         self._wanted = trio.Event()
-        self._failed: set[trio.Event] = set()
-        self.current_at = float("-inf")  # when the latest read that proved the replica current was sent
 
     async def watch(self) -> None:
         """Follow all changes for ever."""
@@ -382,7 +394,7 @@
             return False
         if changes.events or changes.revision > self.replica.revision:
             self._on_change(self.replica.apply(changes))
-        self.current_at = max(self.current_at, sent)
+        self.replica.current_at = max(self.replica.current_at, sent)
         return True
 
     async def _reload(self) -> None:
@@ -390,28 +402,49 @@
         self._on_change(self.replica.reload(revision, pairs))
 
     async def sync(self) -> None:
-        """Return once the replica holds all that was written before this call; Away if it can't."""
+        """Return once the replica holds all that was written before this call; Away if it can't, or not in time."""
         if not self.replica.loaded or not self._state.reachable():
             raise Away("no current reading of the state service")
-        event = trio.Event()
-        self._waiting.append(event)
+        reading = _Sync()
+        self._waiting.append(reading)
         self._wanted.set()
-        await event.wait()
-        if event in self._failed:
-            self._failed.discard(event)
+        with trio.move_on_after(c.SYNC_WAIT_S):
+            await reading.settled.wait()
+        if not reading.good:
             raise Away("no current reading of the state service")
 
     async def serve_syncs(self) -> None:
-        """One read for all that wait at its start."""
+        """One read for all that wait at its start; a slow one holds up few of those that come later."""
+        async with trio.open_nursery() as nursery:
+            flying = trio.CapacityLimiter(c.SYNCS_AT_ONCE)
+            while True:
+                await self._wanted.wait()
+                token = object()
+                await flying.acquire_on_behalf_of(token)
+                self._wanted = trio.Event()
+                batch, self._waiting = self._waiting, []
+                nursery.start_soon(self._serve, batch, flying, token)
+                await trio.sleep(c.SYNC_GAP_S)
+
+    async def _serve(self, batch: list[_Sync], flying: trio.CapacityLimiter, token: object) -> None:
+        good = False
+        try:
+            good = await self._read(0)
+        except (Away, Unsure):
+            pass
+        finally:
+            flying.release_on_behalf_of(token)
+            for reading in batch:
+                reading.good = good
+                reading.settled.set()
+
+    async def keep_current(self, wanted: Callable[[], bool]) -> None:
+        """Read now and then while `wanted`: what the copy proves must not be older than what the lease does.
+
+        A quiet watch proves nothing for as long as it waits; polls prove it all the time, and then this reads nothing.
+        """
         while True:
-            await self._wanted.wait()
-            self._wanted = trio.Event()
-            batch, self._waiting = self._waiting, []
-            try:
-                if not await self._read(0):
-                    raise Away("changes no longer kept")
-            except (Away, Unsure):
-                self._failed.update(batch)
-            for event in batch:
-                event.set()
-            await trio.sleep(c.SYNC_GAP_S)
+            await trio.sleep(c.PULSE_S)
+            if wanted() and trio.current_time() - self.replica.current_at >= c.PULSE_S:
+                with contextlib.suppress(Away):
+                    await self.sync()
--- a/pepperlatch/controller/writer.py
+++ b/pepperlatch/controller/writer.py
@@ -1,4 +1,9 @@
-"""The leader's writes: batched, every one conditional on the leader's key, what somebody waits for first."""
+"""The leader's writes: batched, every one conditional on the leader's key, what somebody waits for first.
+
+They are carried out in order or not at all. A transaction without an answer may be carried out seconds later, when
+newer values are stored: so each is also conditional on the leader's turn (`store.TURN`), and after one without an
+answer the turn is moved on before anything else is written. What was lost is by then carried out, or never will be.
+"""
 
 import logging
 from collections import deque
@@ -30,6 +35,8 @@
 
 class Writer:
     def __init__(self, state: StateClient, term: Term, most: int) -> None:
+        self.turn = 0  # version of the turn's key; known from taking over
+        self._unanswered = False  # a transaction may yet be carried out
         self._state = state
         self._term = term
         self._most = most
@@ -50,6 +57,9 @@
         while not self._term.over:
             while self._refused and trio.current_time() >= self._refused[0][0]:
                 self._queue.append(self._refused.popleft()[1])
+            if self._unanswered and not await self._moved_on():
+                await trio.sleep(c.STATE_RETRY_S)
+                continue
             batch = self._take()
             if not batch:
                 await self._rest()
@@ -60,6 +70,7 @@
                 self._refuse(batch, error)
             except (Away, Unsure, LeaseGone) as error:
                 log.debug("write put off: %s", error)
+                self._unanswered = isinstance(error, Unsure)
                 self._queue.extendleft(reversed(batch))
                 await trio.sleep(c.STATE_RETRY_S)
 
@@ -89,23 +100,45 @@
             changes += len(write.changes)
             conditions += len(write.when)
             size += len(orjson.dumps(write.changes))
-            over = changes > self._most or conditions >= c.TXN_CONDITIONS * self._most or size > c.TXN_BYTES
+            over = changes > self._most or conditions + 2 > c.TXN_CONDITIONS * self._most or size > c.TXN_BYTES
             if batch and (over or write.alone or batch[0].alone):
                 break
             batch.append(source.popleft())
         return batch
 
+    def _mine(self) -> list[dict[str, Any]]:
+        return [wire.when(store.LEADER, self._term.token), wire.when(store.TURN, self.turn)]
+
+    async def _moved_on(self) -> bool:
+        """Whether no earlier transaction can be carried out any more."""
+        try:
+            outcome = await self._state.txn(self._mine(), [wire.put(store.TURN, {"token": self._term.token})])
+            if outcome.applied:
+                self.turn = outcome.revision
+            elif store.LEADER in outcome.failed:
+                self._term.over = True
+            else:  # this was tried before, without an answer, and was carried out
+                held = await self._state.read(store.TURN)
+                self.turn = held.version if held is not None else 0
+        except (Away, Unsure, LeaseGone) as error:
+            log.debug("turn not moved on: %s", error)
+            return False
+        self._unanswered = False
+        return True
+
     async def _commit(self, batch: list[Write]) -> None:
-        """Retries after an unknown outcome are safe: all changes are whole values, or conditional."""
-        lead = wire.when(store.LEADER, self._term.token)
+        """What is tried again after an unknown outcome may have been carried out: whole values, or conditional."""
         outcome = await self._state.txn(
-            [lead] + [w for b in batch for w in b.when], [w for b in batch for w in b.changes]
+            self._mine() + [w for b in batch for w in b.when], [w for b in batch for w in b.changes]
         )
         if outcome.applied:
             for write in batch:
                 write.done(True)
         elif store.LEADER in outcome.failed:
             self._term.over = True
+        elif store.TURN in outcome.failed:  # moved on by what had no answer, or by nobody that we know of
+            self._unanswered = True
+            self._queue.extendleft(reversed(batch))
         else:
             failed = set(outcome.failed)
             rest = [w for w in batch if not any(wire.condition_key(cond) in failed for cond in w.when)]
--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -225,6 +225,8 @@
             return machine
         if report.session <= machine.over_session:
             return machine  # late: nothing that it shows is there any more
+        if beat:
+            self._heard(machine, report, now)
         if report.session > machine.session:
             self._all_gone(machine, now, "its worker began anew")
             machine.began_by = now  # nobody may have answered this session yet: its lease runs from its beginning
@@ -244,6 +246,23 @@
         self._tasks(machine, report, now, beat)
         return machine
 
+    def _heard(self, machine: Machine, report: Report, now: float) -> None:
+        """Whether our answers arrive there. A worker reports again only once it has the last answer or has dropped it.
+
+        So a later report without our token disproves all answers of ours: they renewed no lease. Seen: a machine that
+        reported and heard nothing kept the tasks of all older jobs waiting for as long as that lasted.
+        """
+        if report.token < self.token and not machine.fenced and machine.answered_at >= 0:
+            machine.answered_at = -1.0
+            machine.deaf_since = now if machine.deaf_since < 0 else machine.deaf_since
+        if machine.offered is not None and report.seq > machine.offered[0]:
+            shown = {(task.task, task.attempt) for task in report.tasks}
+            arrived = report.session == machine.session and not shown.isdisjoint(machine.offered[1])
+            machine.unheard = 0 if arrived else machine.unheard + 1
+            machine.offered = None
+            if machine.unheard == c.UNHEARD_MOST:
+                log.info("%s does not hear us", machine.name, extra={"machine": machine.name})
+
     def _older(self, machine: Machine, asked_at: float) -> None:
         """A message with an older number is late, unless it answers what was asked after the newest had come.
 
@@ -268,6 +287,7 @@
             self.to_record.add(machine)
         if report.token == self.token and not machine.fenced:
             machine.fenced = True
+            machine.deaf_since = -1.0
             machine.began_by = now  # until then an earlier leader may have answered it
             self._accounted(machine.name, now)
 
@@ -349,6 +369,8 @@
             attempt.phase = Phase.PLANNED
             if not attempt.wanted:
                 self._lose(attempt, now, attempt.stopped_for)
+            elif machine.unheard >= c.UNHEARD_MOST:
+                self._lose(attempt, now, "its machine does not hear us")
             self.touched.add(machine)
 
     def _adopt(self, machine: Machine, task: TaskReport, now: float) -> Attempt | None:
@@ -519,8 +541,14 @@
     def orders_for_beat(self, machine: Machine, sure: bool, now: float) -> list[dict[str, Any]]:
         """Orders for the answer to the machine's newest report; settled by its next report."""
         orders: list[dict[str, Any]] = []
-        for attempt in list(machine.attempts.values()):
-            orders += self._order(attempt, machine.seq, now)
+        offered = set()
+        for key, attempt in list(machine.attempts.items()):
+            absent = attempt.phase is not Phase.THERE
+            more = self._order(attempt, machine.seq, now)
+            orders += more
+            if absent and more:
+                offered.add(key)
+        machine.offered = (machine.seq, frozenset(offered)) if offered else None
         for name, number in self.strays.get(machine.name, {}):
             orders.append(wire.kill(name, number, 0.0))
         if sure:
@@ -570,6 +598,8 @@
 
     def direct_result(self, machine: Machine, launched: list[Attempt], executed: bool | None, now: float) -> None:
         """executed: True, False (surely not), or None (no answer: it may happen minutes from now)."""
+        if executed:
+            machine.unheard = 0
         for attempt in launched:
             key = (attempt.name, attempt.number)
             if machine.attempts.get(key) is not attempt or attempt.phase is not Phase.SENT:
--- a/pepperlatch/policy/placement.py
+++ b/pepperlatch/policy/placement.py
@@ -12,7 +12,8 @@
 def usable(machine: Machine, now: float, fresh_s: float) -> bool:
     """Takes new tasks: up, recorded, reached lately, in a session that lasts, not on its way out.
 
-    What only others hear of can neither be answered nor commanded: a launch sent there is held, and comes late.
+    What only others hear of can neither be answered nor commanded: a launch sent there is held, and comes late. What
+    reports and hears nothing loses what it is given with its lease, and is empty again: it would draw task after task.
     """
     return (
         machine.status is Status.UP
@@ -21,6 +22,7 @@
         and machine.notice_at is None
         and machine.session > machine.over_session
         and now - machine.reached_at <= fresh_s
+        and machine.unheard < c.UNHEARD_MOST
     )
 
 
--- /dev/null
+++ b/tests/meetings/test_cancelled_in_an_outage.py
@@ -0,0 +1,139 @@
+"""Cancelled behind a leader's back, then no state service for anybody: the tasks are gone in time all the same.
+
+The observer counts from what the user was told, by the world's own clock. Each story also asserts that tasks ran when
+the cancellation was confirmed and that the old leader answered reports afterwards, or it could pass by chance.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+import trio
+
+from pepperlatch.protocol.http.client import Lost, NotSent
+from tests.fakes import CANCEL_S, LEASE_S, NODES, World, job, story
+
+REFUSED_S = 12.0  # s; from the beginning of the story to T0, when the old leader is refused
+Tell = Callable[[World], Awaitable[None]]
+
+
+@dataclass
+class Day:
+    """T0: the state service refuses the leader alone. `away_s` later it is down for all, for `lasts_s`."""
+
+    away_s: float
+    lasts_s: float
+    alone: str = "refused"  # what the old leader has lost: "refused", "cut" (peers, too), "frozen", "reads"
+    cancels: list[float] = field(default_factory=list)  # s after T0, one for each job
+    again_s: float = 0.0  # the outage ends for so long, and begins anew
+    shapes: tuple[str, ...] = ("sweep", "saves", "daemon", "group", "chain")
+    answered_late: int = 0
+    confirmed: dict[str, float] = field(default_factory=dict)
+
+    def jobs(self) -> list[dict[str, Any]]:
+        made = []
+        for n in range(len(self.cancels)):
+            shape = self.shapes[n % len(self.shapes)]
+            more: dict[str, Any] = {"shape": shape, "pieces": 1, "cores": 1.0, "crew": "red", "expected_s": 400.0}
+            if shape == "saves":
+                more |= {"shape": "sweep", "snapshot_every_s": 15.0, "snapshot_cost_s": 4.0}
+            elif shape == "daemon":
+                more |= {"expected_s": 0.0}
+            elif shape == "group":
+                more |= {"pieces": 2}
+            elif shape == "chain":
+                more |= {"shape": "sweep"}
+            made.append(job(n + 1, **more))
+        return made
+
+    async def tell(self, world: World) -> None:
+        old = world.leader()
+        zone = world.nodes[old].settings.zone
+        for _ in range(3):
+            world.cloud.create(zone)
+        world.cloud.capacity.clear()
+        jobs = self.jobs()
+        for one in jobs:
+            while (await world.submit(one))[0] not in (200, 201):
+                await trio.sleep(0.5)
+            if one["expected_s"] and int(one["name_id"][-6:]) % 5 == 0:  # something waits behind it
+                await world.submit(job(500 + int(one["name_id"][-6:]), prereqs=[one["name_id"]]))
+        await world.until(lambda: all(world.running(one) == one["pieces"] for one in jobs), 40)
+        for worker in world.workers:
+            worker.node = old
+        self.watch_answers(world, old)
+        await trio.sleep(2.5)
+        t0 = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for one, at in zip(jobs, self.cancels, strict=True):
+                nursery.start_soon(self.cancel, world, old, one, max(0.0, t0 + 2.0 + at - trio.current_time()))
+            await trio.sleep(2.0)
+            self.lose(world, old)
+            await trio.sleep(self.away_s)
+            world.state.out = True
+        assert self.confirmed, "nobody was told anything"
+        if self.again_s:
+            await trio.sleep(self.lasts_s / 2)
+            world.state.out = False
+            await trio.sleep(self.again_s)
+            world.state.out = True
+        await trio.sleep(self.lasts_s)
+        world.state.out = False
+        world.state.refused.clear()
+        world.lose_answer = lambda source, path, body: False
+        await world.heal()
+        await trio.sleep(LEASE_S)
+        assert self.answered_late > 0, "the old leader answered nothing after a confirmation"
+        for one in jobs:
+            if one["name_id"] in self.confirmed:
+                assert await world.status(one) == "withdrawn"
+
+    def lose(self, world: World, old: int) -> None:
+        if self.alone == "reads":  # it goes on proving that it leads, and hears no news
+            world.lose_answer = lambda source, path, body: source == NODES[old] and path.startswith("/changes")
+            return
+        world.state.refused.add(NODES[old])
+        if self.alone == "cut":
+            for index in range(world.count):
+                world.cut(NODES[old], NODES[index], "hold")
+
+    def watch_answers(self, world: World, old: int) -> None:
+        """What the old leader answers workers, counted where it arrives."""
+        for worker in world.workers:
+            execute = worker.execute
+
+            def counted(orders: list[dict[str, Any]], worker: Any = worker, execute: Any = execute) -> None:
+                if worker.node == old and self.confirmed and trio.current_time() > min(self.confirmed.values()):
+                    self.answered_late += 1
+                execute(orders)
+
+            worker.execute = counted
+
+    async def cancel(self, world: World, old: int, one: dict[str, Any], after_s: float) -> None:
+        await trio.sleep(after_s)
+        index = next(i for i in sorted(world.nodes) if i != old)
+        there = world.running(one)
+        try:
+            status, _ = await world.ask(index, "POST", f"/work/{one['name_id']}/cancel")
+        except (NotSent, Lost):
+            return
+        if status == 200:
+            assert there, "it did not run when its cancellation was confirmed"
+            self.confirmed[one["name_id"]] = trio.current_time()
+
+
+BEFORE = [-2.0, -1.0, 0.0, 0.5, 1.0, 1.5, 1.9]
+AFTER = [*(float(n) for n in range(-2, 11)), 10.45]
+
+
+@pytest.mark.parametrize("alone", ["refused", "cut", "reads"])
+@pytest.mark.parametrize("lasts", [1.0, 1.5, 3.0])
+def test_an_outage_that_begins_before_a_successor_is_there(alone: str, lasts: float) -> None:
+    story(Day(2.0, lasts * CANCEL_S, alone, BEFORE).tell)
+
+
+@pytest.mark.parametrize("alone", ["refused", "cut", "reads"])
+@pytest.mark.parametrize("count", [3, 7])
+def test_an_outage_that_begins_after_a_successor_is_there(alone: str, count: int) -> None:
+    story(Day(10.5, 1.5 * CANCEL_S, alone, AFTER).tell, count)
