--- a/pepperlatch/controller/leadership.py
+++ b/pepperlatch/controller/leadership.py
@@ -21,9 +21,9 @@
 class Term:
     """One time of leading, with the two proofs that what a leader does rests on.
 
-    Authority: the lease of this token was alive; `checked_at` is when the last confirmed check was sent. Currency: this
-    node's copy holds all that was confirmed before a moment (`Replica.current_at`). A touch of the lease proves the
-    first and says nothing of the second: the answers of a watch may be lost or slow while touches are answered.
+    Authority: the lease of this token was alive; `checked_at` is when the last confirmed check was sent. Currency:
+    this node's copy held all that was confirmed before a moment, the leader's key among it (`Replica.current_at`). A
+    touch of the lease says nothing of the copy: answers of a watch may be lost or slow while touches are answered.
     """
 
     token: int
@@ -46,11 +46,11 @@
         Seen: a leader refused by the state service kept jobs alive, and started them anew, that were cancelled through
         others, as soon as it could touch its lease again: its copy was older than that.
         """
-        return not self.over and now < keeps_alive_until(self.hold_s, self.checked_at, self.replica.current_at)
+        return not self.over and now < keeps_alive_until(self.hold_s, self.replica.current_at)
 
 
 def keeps_alive_until(hold_s: float, *proved_at: float) -> float:
-    """How long leases may be renewed on proofs that were sent at these moments: the oldest one counts."""
+    """How long leases may be renewed on what was proven by requests sent at these moments: the oldest one counts."""
     return min(proved_at) + hold_s
 
 
