--- a/pepperlatch/controller/health.py
+++ b/pepperlatch/controller/health.py
@@ -97,9 +97,7 @@
                 machine.probing = True
                 self._duty.spawn(self._probe, machine)
         elsewhere = sum(1 for m in silent if not planner.zones.kept(m.zone, now))
-        few = max(1, c.SILENT_MANY_SHARE * len(cluster.machines))
-        many = elsewhere > few
-        deaf = [m for m in cluster.machines.values() if self._deaf(m, now)]
+        many = elsewhere > max(1, c.SILENT_MANY_SHARE * len(cluster.machines))
         portion = Portion(planner.zones, bool(planner.needs))
         for machine in cluster.machines.values():
             kept = planner.zones.kept(machine.zone, now)
@@ -111,8 +109,6 @@
                 and portion.allows(machine.zone)
             ):  # fmt: skip
                 cluster.release(machine, SILENT)
-            elif machine.status is Status.UP and sure and not kept and machine in deaf and len(deaf) <= few:
-                cluster.release(machine, "hears nobody")
             if machine.unheard >= c.UNHEARD_MOST or any(not a.wanted for a in machine.attempts.values()):
                 cluster.touched.add(machine)
         if sure and not cluster.rebuilding():
@@ -174,11 +170,6 @@
         asked = machine.probes >= (1 if fenced else c.SILENT_PROBES)
         return not many and (asked or (machine.probes_unheard > 0 and self._duty.cluster.lease_over(machine, now)))
 
-    def _deaf(self, machine: Machine, now: float) -> bool:
-        """It reports and has heard nothing for a lease: what ran there is lost, and older tasks wait for the proof."""
-        waited = machine.name in self._duty.cluster.unaccounted and machine.deaf_since >= 0
-        return waited and now - machine.deaf_since > self._duty.settings.params.workers.lease_s
-
     async def _probe(self, machine: Machine) -> None:
         report: Report | None = None
         sent = self._duty.clock()
--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -226,7 +226,7 @@
         if report.session <= machine.over_session:
             return machine  # late: nothing that it shows is there any more
         if beat:
-            self._heard(machine, report, now)
+            self._heard(machine, report)
         if report.session > machine.session:
             self._all_gone(machine, now, "its worker began anew")
             machine.began_by = now  # nobody may have answered this session yet: its lease runs from its beginning
@@ -246,15 +246,14 @@
         self._tasks(machine, report, now, beat)
         return machine
 
-    def _heard(self, machine: Machine, report: Report, now: float) -> None:
+    def _heard(self, machine: Machine, report: Report) -> None:
         """Whether our answers arrive there. A worker reports again only once it has the last answer or has dropped it.
 
-        So a later report without our token disproves all answers of ours: they renewed no lease. Seen: a machine that
-        reported and heard nothing kept the tasks of all older jobs waiting for as long as that lasted.
+        So a later report without our token disproves all answers of ours: they renewed no lease. Else a machine that
+        reports and hears nothing would keep the tasks of all older jobs waiting for as long as that lasts.
         """
         if report.token < self.token and not machine.fenced and machine.answered_at >= 0:
             machine.answered_at = -1.0
-            machine.deaf_since = now if machine.deaf_since < 0 else machine.deaf_since
         if machine.offered is not None and report.seq > machine.offered[0]:
             shown = {(task.task, task.attempt) for task in report.tasks}
             arrived = report.session == machine.session and not shown.isdisjoint(machine.offered[1])
@@ -287,7 +286,6 @@
             self.to_record.add(machine)
         if report.token == self.token and not machine.fenced:
             machine.fenced = True
-            machine.deaf_since = -1.0
             machine.began_by = now  # until then an earlier leader may have answered it
             self._accounted(machine.name, now)
 
--- a/tests/meetings/test_cancelled_in_an_outage.py
+++ b/tests/meetings/test_cancelled_in_an_outage.py
@@ -11,8 +11,9 @@
 import pytest
 import trio
 
+from pepperlatch.constants import core as c
 from pepperlatch.protocol.http.client import Lost, NotSent
-from tests.fakes import CANCEL_S, LEASE_S, NODES, World, job, story
+from tests.fakes import CANCEL_S, LEASE_S, NODES, REPORT_S, ZONES, World, job, story
 
 REFUSED_S = 12.0  # s; from the beginning of the story to T0, when the old leader is refused
 Tell = Callable[[World], Awaitable[None]]
@@ -87,10 +88,12 @@
             await trio.sleep(self.again_s)
             world.state.out = True
         await trio.sleep(self.lasts_s)
+        world.lose_answer = lambda source, path, body: source == NODES[old] and path.startswith("/changes")
         world.state.out = False
         world.state.refused.clear()
-        world.lose_answer = lambda source, path, body: False
         await world.heal()
+        await trio.sleep(1.0)  # it can touch its lease before it hears any news
+        world.lose_answer = lambda source, path, body: False
         await trio.sleep(LEASE_S)
         assert self.answered_late > 0, "the old leader answered nothing after a confirmation"
         for one in jobs:
@@ -163,6 +166,42 @@
     story(Day(10.5, 1.5 * CANCEL_S, alone, AFTER).tell, count)
 
 
+def test_a_leader_whose_touches_are_answered_and_whose_reads_are_not() -> None:
+    story(Day(c.HANDOVER_STALE_S - 0.6, 1.5 * CANCEL_S, "reads", [0.3, 0.6, 1.0, 2.0, 4.0]).tell)
+
+
+def test_one_that_stands_in_for_a_leader_and_knows_as_little() -> None:
+    """Both are refused. They hear each other all through the outage, which proves nothing of what others confirmed."""
+
+    async def tell(world: World) -> None:
+        old = world.leader()
+        who, knows = (old + 1) % 3, (old + 2) % 3
+        for _ in range(2):
+            world.cloud.create(ZONES[who])
+        world.cloud.capacity.clear()
+        one = job(1, pieces=3, expected_s=400.0, snapshot_every_s=15.0, snapshot_cost_s=4.0)
+        await world.submit(one)
+        await world.until(lambda: world.running(one) == 3, 30)
+        for worker in world.workers:
+            worker.node = who
+            world.cut(worker.name, NODES[knows], "refuse")
+            world.cut(worker.name, NODES[old], "refuse")
+        await trio.sleep(REPORT_S)
+        world.state.refused |= {NODES[old], NODES[who]}
+        await trio.sleep(1.0)
+        assert (await world.ask(knows, "POST", "/work/run-000001/cancel"))[0] == 200
+        await trio.sleep(0.5)
+        world.state.out = True
+        await trio.sleep(8.0)
+        world.kill(old)
+        await trio.sleep(5.0)
+        assert world.nodes[who].reports._stood_in, "it stood in"
+        await trio.sleep(1.5 * CANCEL_S)
+        assert world.running(one) == 0
+
+    story(tell)
+
+
 @pytest.mark.parametrize("count", [3, 7])
 def test_an_outage_that_ends_for_a_moment_and_begins_anew(count: int) -> None:
     story(Day(2.0, 2 * CANCEL_S, "refused", BEFORE, again_s=0.6).tell, count)
