--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -22,6 +22,7 @@
 from pepperlatch.controller.reports import Contact, Reports
 from pepperlatch.controller.store import Replica, Watched
 from pepperlatch.controller.users import Progress, Users
+from pepperlatch.controller.vouching import PEER_VOUCH, Vouching
 from pepperlatch.policy.images import ImageMemory
 from pepperlatch.policy.model import Status
 from pepperlatch.policy.reasons import Reason, Why
@@ -77,6 +78,7 @@
         self.watched = Watched(self.state, self.replica, self._changed)
         hold_s = hold_seconds(params.workers.cancel_s, params.workers.lease_s)
         self.leadership = Leadership(settings.node, self.state, self.replica, hold_s, clock, seed)
+        self.vouching = Vouching(network, settings.peers, self.watched, self.leadership, clock)
         self.owner = Owner(self._settle, c.TICK_S / 5)
         self.reports = Reports(
             settings, network, clock, self.owner, self.replica, self.state, hold_s, lambda: self.leader
@@ -186,6 +188,8 @@
             return await self.peers.serve(request)
         if request.path == PEER_BAR and request.method == "POST":
             return self._on_bar(request.body)
+        if request.path == PEER_VOUCH and request.method == "POST":
+            return self.vouching.serve(request.body)
         if request.path == PEER_HEALTH:
             state = self.replica.loaded and await self._state_answers()
             return Response(200, {"state": state, "leader": self.reports.hears_leader()})
@@ -235,6 +239,8 @@
                 async with trio.open_nursery() as nursery:
                     for peer in self.settings.peers:
                         nursery.start_soon(self._bar, leader, peer)
+                    if self._clock() - self.replica.current_at > c.VOUCH_AFTER_S:
+                        nursery.start_soon(self.vouching.ask, leader.term)
                 if why := self._cannot_lead(leader):
                     log.info("%s: it hands over", why)
                     await self.leadership.resign(c.HANDOVER_PAUSE_S)
--- a/pepperlatch/controller/leadership.py
+++ b/pepperlatch/controller/leadership.py
@@ -33,6 +33,7 @@
     replica: store.Replica
     over: bool = False
     answered_since: float = -math.inf  # no gap in the checks since then
+    vouched_at: float = -math.inf  # the others were asked then, and made the copy as current as a reading
 
     def sure(self, now: float) -> bool:
         """The lease cannot have ended yet: what cannot be taken back is allowed."""
@@ -40,13 +41,17 @@
             not self.over and now - self.checked_at < c.LEADER_LEASE_MS / 1000 * (1 - c.CLOCK_DRIFT) - c.SURE_MARGIN_S
         )
 
+    def proven_at(self) -> float:
+        """All that was confirmed before then is known here, by a reading or by what every other controller said."""
+        return max(self.replica.current_at, self.vouched_at)
+
     def may_answer(self, now: float) -> bool:
         """Reports may be answered and tasks launched: whatever we keep alive is gone before a cancellation's bound.
 
         Seen: a leader refused by the state service kept jobs alive, and started them anew, that were cancelled through
         others, as soon as it could touch its lease again: its copy was older than that.
         """
-        return not self.over and now < keeps_alive_until(self.hold_s, self.replica.current_at)
+        return not self.over and now < keeps_alive_until(self.hold_s, self.proven_at())
 
 
 def keeps_alive_until(hold_s: float, *proved_at: float) -> float:
--- a/pepperlatch/controller/store.py
+++ b/pepperlatch/controller/store.py
@@ -13,6 +13,7 @@
 import math
 import re
 import sys
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -101,6 +102,8 @@
     leader: tuple[str, int] | None = None
     type_pieces: dict[int, list[wire.MachineType]] = field(default_factory=dict)
     tuning: tuple[dict[str, Any], int] = field(default_factory=lambda: ({}, 0))
+    _cancelled: deque[tuple[int, str]] = field(default_factory=deque)  # versions and ids, the latest learned last
+    _cancelled_from: int = 0  # those of later versions are all in it
     _versions: dict[str, int] = field(default_factory=dict)  # of all keys but jobs': their entries hold theirs
     _finished: dict[tuple[str, int], JobRecord] = field(default_factory=dict)
 
@@ -165,6 +168,10 @@
         if known is not None and known.version >= version:
             return set()
         record = value if isinstance(value, JobRecord) else wire.convert(value, JobRecord)
+        if record.state == wire.JobState.CANCELLED.value:
+            self._cancelled.append((version, job_id))
+            if len(self._cancelled) > c.VOUCH_KEPT:
+                self._cancelled_from = max(self._cancelled_from, self._cancelled.popleft()[0])
         self.jobs[job_id] = Entry(record, version, self.chain.through.get(job_id))
         touched = self._job_changed(job_id)
         if record.state == wire.JobState.DONE.value and record.spec is None:
@@ -205,6 +212,19 @@
                 held.get(job_id, {}).pop(number, None)
                 self._versions.pop(key, None)
 
+    def learn(self, rows: list[tuple[str, Any, int]]) -> set[str]:
+        """Records of jobs that were confirmed and not read yet: what a reading will show again, in time."""
+        touched: set[str] = set()
+        for job_id, value, version in rows:
+            touched |= self._put_job(job_id, value, version)
+        return touched
+
+    def cancelled_since(self, revision: int) -> list[tuple[int, str]] | None:
+        """All jobs known to be cancelled by a later revision; None if that is not kept so far back."""
+        if revision < self._cancelled_from:
+            return None
+        return sorted(row for row in self._cancelled if row[0] > revision)
+
     # --- what follows from it ---------------------------------------------------------------------
 
     @property
@@ -397,6 +417,11 @@
         self.replica.current_at = max(self.replica.current_at, sent)
         return True
 
+    def learn(self, rows: list[tuple[str, Any, int]]) -> None:
+        """What this node or another has had confirmed; from here on every answer of this node goes by it."""
+        if rows:
+            self._on_change(self.replica.learn(rows))
+
     async def _reload(self) -> None:
         revision, pairs = await self._state.read_all(WATCHED, slim)
         self._on_change(self.replica.reload(revision, pairs))
--- a/pepperlatch/controller/users.py
+++ b/pepperlatch/controller/users.py
@@ -337,6 +337,7 @@
                 record = store.cancelled(entry.record, self._settings.params.state.value_kb)
                 key = store.JOB + job_id
                 outcome = await self._state.txn([wire.when(key, entry.version)], [wire.put(key, wire.to_plain(record))])
-                if outcome.applied:
+                if outcome.applied:  # known here before its user is told: others vouch by what this node knows
+                    self._watched.learn([(job_id, record, outcome.revision)])
                     return Response(200, wire.job_answer(job_id, JobState.CANCELLED))
         return later()
