--- a/pepperlatch/controller/health.py
+++ b/pepperlatch/controller/health.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import heapq
+import math
 from collections import Counter
 from collections.abc import Callable
 
@@ -99,6 +100,7 @@
         elsewhere = sum(1 for m in silent if not planner.zones.kept(m.zone, now))
         many = elsewhere > max(1, c.SILENT_MANY_SHARE * len(cluster.machines))
         portion = Portion(planner.zones, bool(planner.needs))
+        unseen_since = cluster.departed_since()
         for machine in cluster.machines.values():
             kept = planner.zones.kept(machine.zone, now)
             overdue = machine.status is Status.BOOTING and now - machine.born > cluster.boots.patience_s(machine.type)
@@ -109,7 +111,7 @@
                 and portion.allows(machine.zone)
             ):  # fmt: skip
                 cluster.release(machine, SILENT)
-            elif machine.status is Status.UP and sure and self._may_go_on(machine, now):
+            elif machine.status is Status.UP and sure and self._may_go_on(machine, unseen_since, now):
                 cluster.release(machine, OWES)
             if machine.unheard >= c.UNHEARD_MOST or any(not a.wanted for a in machine.attempts.values()):
                 cluster.touched.add(machine)
@@ -172,19 +174,21 @@
         asked = machine.probes >= (1 if fenced else c.SILENT_PROBES)
         return not many and (asked or (machine.probes_unheard > 0 and self._duty.cluster.lease_over(machine, now)))
 
-    def _may_go_on(self, machine: Machine, now: float) -> bool:
+    def _may_go_on(self, machine: Machine, unseen_since: float, now: float) -> bool:
         """A machine that hangs may go on with a cancelled task: it is returned while that is in time.
 
-        However many are silent, if a cancelled task was seen there. After a takeover it may be on any that was not
-        heard of: then not in a zone that seems cut off, where all would be returned for it and their leases end it.
+        The end of its lease proves the task gone, but a machine that hangs ends it only once it goes on. However many
+        are silent, if a cancelled task was seen there. After a takeover it may be on any that was not heard of: then
+        not in a zone that seems cut off, where all would be returned for it and their leases end it.
         """
-        params, since = self._duty.settings.params.workers, self._duty.cluster.owes_since(machine)
-        if since is None or now - since <= c.OWES_SHARE * params.cancel_s:
+        cluster, params = self._duty.cluster, self._duty.settings.params.workers
+        since = machine.owes_since
+        if since < 0:
+            unseen = machine.seen_at < 0 and machine.name in cluster.unaccounted
+            since = unseen_since if unseen and not self._duty.planner.zones.kept(machine.zone, now) else math.inf
+        if now - since <= c.OWES_SHARE * params.cancel_s:
             return False
-        unseen = machine.owes_since < 0
-        if unseen and self._duty.planner.zones.kept(machine.zone, now):
-            return False
-        return now - max(machine.seen_at, self._duty.cluster.started) > c.SILENT_REPORTS * params.report_s
+        return now - max(machine.seen_at, cluster.started) > c.SILENT_REPORTS * params.report_s
 
     async def _probe(self, machine: Machine) -> None:
         report: Report | None = None
--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -123,17 +124,9 @@
         if unseen > 0 and self.rebuilding():
             self.departed[spec.id] = Departed(spec, unseen, since)
 
-    def owes_since(self, machine: Machine) -> float | None:
-        """Since when the machine may hold a task of a cancelled job, as far as reports have shown; None: it does not.
-
-        The end of its lease proves such a task gone, but a machine that hangs ends it only once it goes on. Nobody has
-        seen a machine since a takeover whose tasks nobody knows: any job that was cancelled lately may be there.
-        """
-        if machine.owes_since >= 0:
-            return machine.owes_since
-        if machine.seen_at >= 0 or machine.name not in self.unaccounted:
-            return None
-        return min((gone.since for gone in self.departed.values() if gone.unseen), default=None)
+    def departed_since(self) -> float:
+        """When the first of the jobs was cancelled whose tasks may be on machines not seen since a takeover."""
+        return min((gone.since for gone in self.departed.values() if gone.unseen), default=math.inf)
 
     def explain(self, job: Job, reason: Reason, now: float) -> None:
         """State why the job waits, or that it does not."""
--- a/tests/acceptance/test_tools.py
+++ b/tests/acceptance/test_tools.py
@@ -59,6 +59,18 @@
     assert sorted(p.name for p in target.iterdir()) == ["lab.days", "lab.toml", "wire.json"]
 
 
+def test_a_stream_takes_the_place_of_the_arrays_that_come_most_often(site: Path) -> None:
+    arrays = '[[jobs]]\nname = "%s"\nkind = "array"\ncpus = 8.0\narrivals = { rate = %g }\ntasks = { median = 35.0 }\n'
+    plain = site.read_text()
+    assert variant.main([str(site), str(site.parent / "none"), "--stream", "4"]) == 2, "no arrays"
+    site.write_text(plain.replace("[[day]]", arrays % ("rare", 0.1) + arrays % ("often", 0.3) + "[[day]]"))
+    assert variant.main([str(site), str(site.parent / "made"), "--stream", "4", "--cancelled", "0.25"]) == 0
+    rows = {row["name"]: row for row in tomllib.loads((site.parent / "made" / "lab.toml").read_text())["jobs"]}
+    assert (rows["often"]["arrivals"]["rate"], rows["often"]["tasks"]["max"], rows["often"]["cpus"]) == (4.0, 1.0, 1.0)
+    assert (rows["rare"]["arrivals"]["rate"], rows["rare"]["tasks"]) == (0.1, {"median": 35.0})
+    assert rows["often"]["cancelled"] == 0.25
+
+
 def test_zones_that_are_left_out_give_their_machines_and_faults_to_those_that_stay(site: Path) -> None:
     target = site.parent / "two"
     assert variant.main([str(site), str(target), "--zones", "a,b"]) == 0
--- a/tests/acceptance/variant.py
+++ b/tests/acceptance/variant.py
@@ -1,7 +1,7 @@
 """A variant of a deployment's site file, for days at sizes that no file shows.
 
     python -m tests.acceptance.variant SITE FOLDER [--machines 1.5] [--arrivals 2] [--restart-delay 0.2]
-                                       [--zones a,b] [--controllers 5] [--run-times 4] [--cancelled 0.3]
+                                       [--zones a,b] [--controllers 5] [--run-times 4] [--cancelled 0.3] [--stream 4]
 
 FOLDER is made, with the site file and what the bench needs beside it; it must not exist. Machines of zones left out
 move to those that stay, and so do faults that name them. A mistake is one line, code 2, and nothing is written.
@@ -50,6 +50,15 @@
             row["cancelled"] = share
 
 
+def stream(site: Site, rate: float) -> None:
+    """The class of arrays that comes most often sends single small tasks instead, so many jobs a second."""
+    rows = [row for row in site.get("jobs", ()) if row.get("kind") == "array"]
+    if not rows:
+        raise click.UsageError("--stream: the site has no class of arrays")
+    row = max(rows, key=lambda row: row.get("arrivals", {}).get("rate", 0.0))
+    row |= {"arrivals": {"rate": rate}, "tasks": {"median": 1.0, "p95": 1.0, "max": 1.0}, "cpus": 1.0, "memory_gb": 1.0}
+
+
 def only_zones(site: Site, kept: Sequence[str]) -> None:
     """Whatever names another zone names one of these instead, in turn."""
     known = site["nodes"]["zones"]
@@ -147,15 +156,18 @@
 @click.option("--zones", help="those that stay, with commas between")
 @click.option("--run-times", type=Positive(), help="factor of the tasks' run times")
 @click.option("--cancelled", type=click.FloatRange(0, 1), help="share of the jobs that their users cancel")
+@click.option("--stream", "a_second", type=Positive(), help="one-task jobs a second, in place of a class's arrays")
 @click.option("--controllers", type=click.IntRange(1, CONTROLLERS_MOST))
 def command(
     site: Path, folder: Path, machines: float | None, arrivals: float | None, restart_delay: float | None,
     zones: str | None, controllers: int | None, run_times: float | None, cancelled: float | None,
+    a_second: float | None,
 ) -> None:  # fmt: skip
     made = read(site)
     changes: list[tuple[Callable[[Site, Any], None], Any]] = [
         (only_zones, zones.split(",") if zones is not None else None),
         (more_machines, machines), (more_arrivals, arrivals), (longer_tasks, run_times), (more_cancelled, cancelled),
+        (stream, a_second),
         (_set_node("restart_delay_s"), restart_delay), (_set_node("count"), controllers),
     ]  # fmt: skip
     for change, value in changes:
