--- a/tests/meetings/test_limits.py
+++ b/tests/meetings/test_limits.py
@@ -98,6 +98,9 @@
 
     async def tell(world: World) -> None:
         world.cloud.capacity = Counter({zone: 8 for zone in ZONES})
+        for zone in ZONES:  # room at once
+            for _ in range(3):
+                world.cloud.create(zone)
         first, second = (job(n, pieces=4, cores=8.0, expected_s=400.0, pull_gb=0.0) for n in (1, 2))
         await world.submit(first)
         await world.until(lambda: world.running(first) == 4, 40)
@@ -113,6 +116,7 @@
             world.start(index)
         await world.until(lambda: any(n.leader and n.leader.ready for n in world.nodes.values()), 15)
         assert all(w.tasks for w in hit)
+        await trio.sleep(2.0)
         while (await world.submit(second, 2))[0] != 201:
             await trio.sleep(0.5)
         await world.until(lambda: world.running(second) == 4, 2 * CANCEL_S)
