--- a/pepperlatch/controller/health.py
+++ b/pepperlatch/controller/health.py
@@ -178,17 +178,18 @@
         """A machine that hangs may go on with a cancelled task: it is returned while that is in time.
 
         The end of its lease proves the task gone, but a machine that hangs ends it only once it goes on. However many
-        are silent, if a cancelled task was seen there. After a takeover it may be on any that was not heard of: then
-        not in a zone that seems cut off, where all would be returned for it and their leases end it.
+        are silent, but not in a zone that seems cut off, where living machines would be returned for it. After a
+        takeover a cancelled task may be on any machine that was not heard of.
         """
         cluster, params = self._duty.cluster, self._duty.settings.params.workers
         since = machine.owes_since
         if since < 0:
-            unseen = machine.seen_at < 0 and machine.name in cluster.unaccounted
-            since = unseen_since if unseen and not self._duty.planner.zones.kept(machine.zone, now) else math.inf
-        if now - since <= c.OWES_SHARE * params.cancel_s:
-            return False
-        return now - max(machine.seen_at, cluster.started) > c.SILENT_REPORTS * params.report_s
+            since = unseen_since if machine.seen_at < 0 and machine.name in cluster.unaccounted else math.inf
+        return (
+            now - since > c.OWES_SHARE * params.cancel_s
+            and now - max(machine.seen_at, cluster.started) > c.SILENT_REPORTS * params.report_s
+            and not self._duty.planner.zones.kept(machine.zone, now)
+        )
 
     async def _probe(self, machine: Machine) -> None:
         report: Report | None = None
