--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -365,6 +365,7 @@
                 "tasks": len(m.attempts), "used_share": round(m.used_share(), 3), "draining": m.draining,
                 "quarantined": m.quarantined, "accounted": m.name not in cluster.unaccounted,
                 "silent_s": round(self._clock() - m.seen_at, 1) if m.seen_at >= 0 else None,
+                "reported_s": round(self._clock() - m.beat_at, 1) if m.beat_at >= 0 else None,
             }
             for m in cluster.machines.values()
         ]  # fmt: skip
--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -108,15 +108,15 @@
         job.waiting.clear()
         self.unsaved.discard(job_id)
         for attempt in list(job.live.values()):
-            self._stop_over(attempt, now)
+            self._stop_over(attempt, now, cancelled=not done)
         if not job.live:
             self.jobs.pop(job_id, None)
         self.dirty = True
 
-    def _stop_over(self, attempt: Attempt, now: float) -> None:
+    def _stop_over(self, attempt: Attempt, now: float, cancelled: bool) -> None:
         machine = attempt.machine
         self.stop(attempt, 0.0, "the job is over")
-        if machine.owes_since < 0 and (attempt.name, attempt.number) in machine.attempts:
+        if cancelled and machine.owes_since < 0 and (attempt.name, attempt.number) in machine.attempts:
             machine.owes_since = now
 
     def depart(self, spec: JobSpec, unseen: int, since: float) -> None:
@@ -276,7 +276,7 @@
             self.to_release.discard(machine.name)
         self._account(machine, report, now)
         self._tasks(machine, report, now, beat)
-        if machine.owes_since >= 0 and all(attempt.wanted for attempt in machine.attempts.values()):
+        if machine.owes_since >= 0 and not any(attempt.job.over for attempt in machine.attempts.values()):
             machine.owes_since = -1.0
         return machine
 
@@ -434,7 +434,7 @@
         if parts[1] in job.waiting:
             job.waiting.remove(parts[1])
         if job.over or parts[1] in job.done:  # every task of it, not only the first one that shows up
-            self._stop_over(attempt, now)
+            self._stop_over(attempt, now, cancelled=job.over)
         return attempt
 
     def _exited(self, machine: Machine, attempt: Attempt | None, task: TaskReport, now: float) -> None:
