--- a/pepperlatch/constants/core.py
+++ b/pepperlatch/constants/core.py
@@ -180,6 +180,7 @@
 THRIFT_SHARE: Final = 0.4  # share of its time that work beyond a guarantee waits for cheap room only
 PREEMPT_MOST: Final = 8  # tasks stopped for others in one round, so a round cannot empty the cluster
 CONTACT_EVERY_S: Final = 0.7  # s; leader and followers keep in touch at this pace, two tries may fail
+SHOWN_S: Final = 0.3  # s; half the pace above: six followers ask in that time, and what is shown may lag by seconds
 STAND_IN_BAR_S: Final = 3.0  # s; a node asked by the leader does not stand in for it for so long
 STAND_IN_SLACK_S: Final = 0.3  # s; the leader counts on that a little shorter, for timers that fire late
 PREEMPT_PAUSE_S: Final = 4.0  # s; a job that had others stopped and still found no place must not go on stopping
--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -93,6 +93,7 @@
         self.images = ImageMemory()
         self._images_told = (0, 0)  # by the leader with this token, up to this number of its own
         self.leader: Leader | None = None
+        self._shown: tuple[int, float, dict[str, Any]] = (0, float("-inf"), {})  # under this token, since then
         self._nursery: trio.Nursery | None = None
         self._peer_answered_at = float("-inf")
         self._peers_good = False  # others have the state service, or are out of reach as it is
@@ -206,14 +207,21 @@
             return Response(404, {"error": "does not lead"})
         now = self._clock()
         leader.cluster.answered_peer(asked.node, now)
-        jobs: dict[str, Any] = {
-            j.spec.id: [j.running(), len(j.done), j.reason.text(), round(now - j.reason_since, 1), j.reason.kind]
-            for j in leader.cluster.jobs.values() if not j.over
-        }  # fmt: skip
+        jobs = self._shown_jobs(leader, now)
         if uses := self.images.after(asked.images):
             jobs[IMAGES] = uses
         return Response(200, jobs)
 
+    def _shown_jobs(self, leader: Leader, now: float) -> dict[str, Any]:
+        """What followers may show users of each job; made once for those that ask at about the same time."""
+        if self._shown[0] != leader.term.token or now - self._shown[1] > c.SHOWN_S:
+            rows = {
+                j.spec.id: [j.running(), len(j.done), j.reason.text(), round(now - j.reason_since, 1), j.reason.kind]
+                for j in leader.cluster.jobs.values() if not j.over
+            }  # fmt: skip
+            self._shown = (leader.term.token, now, rows)
+        return dict(self._shown[2])
+
     def _on_bar(self, body: bytes) -> Response:
         """The leader is in touch."""
         message = _message(body)
--- a/pepperlatch/controller/health.py
+++ b/pepperlatch/controller/health.py
@@ -97,12 +97,14 @@
             if not machine.probing:
                 machine.probing = True
                 self._duty.spawn(self._probe, machine)
-        elsewhere = sum(1 for m in silent if not planner.zones.kept(m.zone, now))
+        zones = {m.zone for m in cluster.machines.values()}
+        kept_zones = {zone for zone in zones if planner.zones.kept(zone, now)}
+        elsewhere = sum(1 for m in silent if m.zone not in kept_zones)
         many = elsewhere > max(1, c.SILENT_MANY_SHARE * len(cluster.machines))
         portion = Portion(planner.zones, bool(planner.needs))
         unseen_since = cluster.departed_since()
         for machine in cluster.machines.values():
-            kept = planner.zones.kept(machine.zone, now)
+            kept = machine.zone in kept_zones
             overdue = machine.status is Status.BOOTING and now - machine.born > cluster.boots.patience_s(machine.type)
             if overdue and not kept:
                 cluster.release(machine, "never came up")
@@ -111,7 +113,7 @@
                 and portion.allows(machine.zone)
             ):  # fmt: skip
                 cluster.release(machine, SILENT)
-            elif machine.status is Status.UP and sure and self._may_go_on(machine, unseen_since, now):
+            elif machine.status is Status.UP and sure and not kept and self._may_go_on(machine, unseen_since, now):
                 cluster.release(machine, OWES)
             if machine.unheard >= c.UNHEARD_MOST or any(not a.wanted for a in machine.attempts.values()):
                 cluster.touched.add(machine)
@@ -178,7 +180,7 @@
         """A machine that hangs may go on with a cancelled task: it is returned while that is in time.
 
         The end of its lease proves the task gone, but a machine that hangs ends it only once it goes on. However many
-        are silent, but not in a zone that seems cut off, where living machines would be returned for it. After a
+        are silent, but not in a zone that is kept, where living machines would be returned for it. After a
         takeover a cancelled task may be on any machine that was not heard of.
         """
         cluster, params = self._duty.cluster, self._duty.settings.params.workers
@@ -188,7 +190,6 @@
         return (
             now - since > c.OWES_SHARE * params.cancel_s
             and now - max(machine.seen_at, cluster.started) > c.SILENT_REPORTS * params.report_s
-            and not self._duty.planner.zones.kept(machine.zone, now)
         )
 
     async def _probe(self, machine: Machine) -> None:
