Strays hold nothing that has exited, and the limits' stories use the cluster that others do

A check that could never matter is gone, and a second way of making a cluster of unaccounted machines.

--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -684,10 +684,10 @@
             self._cap(hidden)
         else:
             self.departed.clear()
-        for name, task in ((name, task) for tasks in self.strays.values() for (name, _), task in tasks.items()):
-            spec = self._spec(name)
-            if spec is not None and task.state is not TaskState.EXITED:
-                hidden.setdefault(spec.team, Use()).add(spec, 1)
+        for tasks in self.strays.values():  # none that has exited is among them
+            for name, _ in tasks:
+                if (spec := self._spec(name)) is not None:
+                    hidden.setdefault(spec.team, Use()).add(spec, 1)
         self.quota.hidden = hidden
 
     def _cap(self, hidden: dict[str, Use]) -> None:
--- a/tests/meetings/test_limits.py
+++ b/tests/meetings/test_limits.py
@@ -124,14 +124,8 @@
     story(tell)
 
 
-def old_cluster(*names: str) -> Cluster:
-    cluster = cluster_of(*(machine(name) for name in names))
-    cluster.params = settings_of(0).params
-    return cluster
-
-
 def test_no_more_is_hidden_than_the_unaccounted_machines_hold() -> None:
-    cluster = old_cluster("n-1", "n-2")
+    cluster = cluster_of(machine("n-1"), machine("n-2"))
     cluster.add_job(spec_of(1, pieces=50, cores=2.0), 3, 0.0, set())
     cluster.count_hidden()
     assert cluster.quota.hidden["red"].cpus == 16.0
@@ -144,7 +138,7 @@
 
 
 def test_what_a_machine_shows_though_another_runs_it_counts_as_well() -> None:
-    cluster = old_cluster("n-1", "n-2")
+    cluster = cluster_of(machine("n-1"), machine("n-2"))
     cluster.add_job(spec_of(1, pieces=1, cores=4.0), 3, 0.0, set())
     for name in ("n-2", "n-1"):
         shown = [{"piece": "run-000001/0", "try": 41 if name == "n-1" else 42, "status": "running"}]
