--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -22,7 +22,7 @@
 from pepperlatch.controller.reports import Contact, Reports
 from pepperlatch.controller.store import Replica, Watched
 from pepperlatch.controller.users import Progress, Users
-from pepperlatch.controller.vouching import PEER_VOUCH, Vouching
+from pepperlatch.controller.vouching import PEER_CANCELLED, PEER_VOUCH, Vouching
 from pepperlatch.policy.images import ImageMemory
 from pepperlatch.policy.model import Status
 from pepperlatch.policy.reasons import Reason, Why
@@ -83,7 +83,7 @@
         self.reports = Reports(
             settings, network, clock, self.owner, self.replica, self.state, hold_s, lambda: self.leader
         )
-        self.users = Users(settings, self.watched, self.state, wall, self._progress)
+        self.users = Users(settings, self.watched, self.state, wall, self._progress, self.vouching.tell)
         self.admin = Admin(self.watched, self.state, self.view)
         core = Core(
             settings, self.users, self.watched, self.state, wall, clock, network, lambda: self.leader,
@@ -190,6 +190,8 @@
             return self._on_bar(request.body)
         if request.path == PEER_VOUCH and request.method == "POST":
             return self.vouching.serve(request.body)
+        if request.path == PEER_CANCELLED and request.method == "POST":
+            return self.vouching.serve_cancelled(request.body)
         if request.path == PEER_HEALTH:
             state = self.replica.loaded and await self._state_answers()
             return Response(200, {"state": state, "leader": self.reports.hears_leader()})
--- a/pepperlatch/controller/health.py
+++ b/pepperlatch/controller/health.py
@@ -11,7 +11,7 @@
 from pepperlatch.constants import zones as z
 from pepperlatch.controller.duty import Duty
 from pepperlatch.controller.peers import Peers
-from pepperlatch.policy.cluster import SILENT
+from pepperlatch.policy.cluster import OWES, SILENT
 from pepperlatch.policy.model import Machine, Status
 from pepperlatch.policy.zones import Seen, Zones
 from pepperlatch.protocol.http.client import Lost, NotSent
@@ -109,6 +109,8 @@
                 and portion.allows(machine.zone)
             ):  # fmt: skip
                 cluster.release(machine, SILENT)
+            elif machine.status is Status.UP and sure and self._may_go_on(machine, now):
+                cluster.release(machine, OWES)
             if machine.unheard >= c.UNHEARD_MOST or any(not a.wanted for a in machine.attempts.values()):
                 cluster.touched.add(machine)
         if sure and not cluster.rebuilding():
@@ -170,6 +172,20 @@
         asked = machine.probes >= (1 if fenced else c.SILENT_PROBES)
         return not many and (asked or (machine.probes_unheard > 0 and self._duty.cluster.lease_over(machine, now)))
 
+    def _may_go_on(self, machine: Machine, now: float) -> bool:
+        """A machine that hangs may go on with a cancelled task: it is returned while that is in time.
+
+        However many are silent, if a cancelled task was seen there. After a takeover it may be on any that was not
+        heard of: then not in a zone that seems cut off, where all would be returned for it and their leases end it.
+        """
+        params, since = self._duty.settings.params.workers, self._duty.cluster.owes_since(machine)
+        if since is None or now - since <= c.OWES_SHARE * params.cancel_s:
+            return False
+        unseen = machine.owes_since < 0
+        if unseen and self._duty.planner.zones.kept(machine.zone, now):
+            return False
+        return now - max(machine.seen_at, self._duty.cluster.started) > c.SILENT_REPORTS * params.report_s
+
     async def _probe(self, machine: Machine) -> None:
         report: Report | None = None
         sent = self._duty.clock()
--- a/pepperlatch/controller/leader.py
+++ b/pepperlatch/controller/leader.py
@@ -112,6 +112,10 @@
                 self.writer.turn = pair.version
             elif pair.key.startswith(store.MACHINE):
                 self._load_machine(pair.key[len(store.MACHINE) :], wire.convert(pair.value, store.MachineRecord), now)
+        for job_id, at in self.replica.cancelled_lately(now - self.settings.params.workers.cancel_s):
+            spec = self.replica.jobs[job_id].record.spec
+            if spec is not None:
+                cluster.depart(spec, spec.tasks - len(self.replica.done_tasks(job_id)), at)
         cluster.remember()
         for pair in pairs:
             if pair.key.startswith(store.HIRE):
@@ -129,7 +133,7 @@
             self.cluster.to_release.add(name)
             return
         machine = Machine(name, kind, record.zone, record.spot, record.addr, Status.UP, now, draining=record.draining)
-        machine.up_at = machine.idle_since = now
+        machine.up_at = machine.idle_since = machine.beat_at = now
         machine.listed = True
         self.cluster.machines[name] = machine
         self.cluster.unaccounted.add(name)
@@ -178,7 +182,7 @@
             entry = self.replica.jobs[job_id]
             known = self.cluster.jobs.get(job_id)
             if entry.state in wire.FINAL:
-                self.cluster.end_job(job_id, self.clock())
+                self.cluster.end_job(job_id, self.clock(), entry.state is wire.JobState.DONE)
                 self.cluster.listener.job(job_id, entry.state.value, self.clock())
                 if entry.record.state == entry.state.value:
                     self._records.tidy(job_id)
--- a/pepperlatch/controller/store.py
+++ b/pepperlatch/controller/store.py
@@ -102,12 +102,14 @@
     leader: tuple[str, int] | None = None
     type_pieces: dict[int, list[wire.MachineType]] = field(default_factory=dict)
     tuning: tuple[dict[str, Any], int] = field(default_factory=lambda: ({}, 0))
-    _cancelled: deque[tuple[int, str]] = field(default_factory=deque)  # versions and ids, the latest learned last
+    # Versions and ids of cancelled jobs, and when this node learned of each; the latest last.
+    _cancelled: deque[tuple[int, str, float]] = field(default_factory=deque)
     _cancelled_from: int = 0  # those of later versions are all in it
+    _cancelled_after: float = -math.inf  # those learned later are all in it
     _versions: dict[str, int] = field(default_factory=dict)  # of all keys but jobs': their entries hold theirs
     _finished: dict[tuple[str, int], JobRecord] = field(default_factory=dict)
 
-    def reload(self, revision: int, pairs: list[wire.KeyValue]) -> set[str]:
+    def reload(self, revision: int, pairs: list[wire.KeyValue], at: float = math.inf) -> set[str]:
         """Take a fresh reading (after 410 or at the start); the job ids it touched.
 
         Its pages may be newer than its revision; the changes replayed on top are told apart by version.
@@ -120,27 +122,28 @@
             for job_id in [job for job in held if not any(f"{prefix}{job}/{n}" in present for n in held[job])]:
                 del held[job_id]
         for pair in pairs:
-            touched |= self._put(pair.key, pair.value, pair.version)
+            touched |= self._put(pair.key, pair.value, pair.version, at)
         self.revision = max(self.revision, revision)
         self.loaded = True
         return touched
 
-    def apply(self, changes: wire.Changes) -> set[str]:
+    def apply(self, changes: wire.Changes, at: float = math.inf) -> set[str]:
         """Several reads may be under way: what an earlier answer told is known, and may have been deleted since."""
         touched: set[str] = set()
         for event in changes.events:
             if event.version <= self.revision:
                 continue
             if event.put is not None:
-                touched |= self._put(event.put, event.value, event.version)
+                touched |= self._put(event.put, event.value, event.version, at)
             elif event.delete is not None:
                 self._delete(event.delete, event.version)
         self.revision = max(self.revision, changes.revision)
         return touched
 
-    def _put(self, key: str, value: Any, version: int) -> set[str]:
+    def _put(self, key: str, value: Any, version: int, at: float) -> set[str]:
+        """`at`: when this node learned of it."""
         if key.startswith(JOB):
-            return self._put_job(key[len(JOB) :], value, version)
+            return self._put_job(key[len(JOB) :], value, version, at)
         if self._versions.get(key, 0) >= version:
             return set()
         self._versions[key] = version
@@ -163,15 +166,17 @@
             self.tuning = (value, version)
         return set()
 
-    def _put_job(self, job_id: str, value: Any, version: int) -> set[str]:
+    def _put_job(self, job_id: str, value: Any, version: int, at: float) -> set[str]:
         known = self.jobs.get(job_id)
         if known is not None and known.version >= version:
             return set()
         record = value if isinstance(value, JobRecord) else wire.convert(value, JobRecord)
         if record.state == wire.JobState.CANCELLED.value:
-            self._cancelled.append((version, job_id))
+            self._cancelled.append((version, job_id, at))
             if len(self._cancelled) > c.VOUCH_KEPT:
-                self._cancelled_from = max(self._cancelled_from, self._cancelled.popleft()[0])
+                left_out, _, learned_at = self._cancelled.popleft()
+                self._cancelled_from = max(self._cancelled_from, left_out)
+                self._cancelled_after = max(self._cancelled_after, learned_at)
         self.jobs[job_id] = Entry(record, version, self.chain.through.get(job_id))
         touched = self._job_changed(job_id)
         if record.state == wire.JobState.DONE.value and record.spec is None:
@@ -212,18 +217,30 @@
                 held.get(job_id, {}).pop(number, None)
                 self._versions.pop(key, None)
 
-    def learn(self, rows: list[tuple[str, Any, int]]) -> set[str]:
+    def learn(self, rows: list[tuple[str, Any, int]], at: float = math.inf) -> set[str]:
         """Records of jobs that were confirmed and not read yet: what a reading will show again, in time."""
         touched: set[str] = set()
         for job_id, value, version in rows:
-            touched |= self._put_job(job_id, value, version)
+            touched |= self._put_job(job_id, value, version, at)
         return touched
 
     def cancelled_since(self, revision: int) -> list[tuple[int, str]] | None:
         """All jobs known to be cancelled by a later revision; None if that is not kept so far back."""
         if revision < self._cancelled_from:
             return None
-        return sorted(row for row in self._cancelled if row[0] > revision)
+        return sorted((version, job_id) for version, job_id, _ in self._cancelled if version > revision)
+
+    def cancelled_lately(self, since: float) -> list[tuple[str, float]]:
+        """All jobs that may have been cancelled since then, i.e. were learned of since, and by when they were.
+
+        If that is not kept so far back, all that ever were.
+        """
+        learned = {job_id: at for _, job_id, at in self._cancelled if at >= since}
+        if since <= self._cancelled_after:
+            over = wire.JobState.CANCELLED.value
+            known = (job_id for job_id, entry in self.jobs.items() if entry.record.state == over)
+            return [(job_id, learned.get(job_id, self._cancelled_after)) for job_id in known]
+        return list(learned.items())
 
     # --- what follows from it ---------------------------------------------------------------------
 
@@ -413,18 +430,18 @@
         if changes is None:
             return False
         if changes.events or changes.revision > self.replica.revision:
-            self._on_change(self.replica.apply(changes))
+            self._on_change(self.replica.apply(changes, trio.current_time()))
         self.replica.current_at = max(self.replica.current_at, sent)
         return True
 
     def learn(self, rows: list[tuple[str, Any, int]]) -> None:
         """What this node or another has had confirmed; from here on every answer of this node goes by it."""
         if rows:
-            self._on_change(self.replica.learn(rows))
+            self._on_change(self.replica.learn(rows, trio.current_time()))
 
     async def _reload(self) -> None:
         revision, pairs = await self._state.read_all(WATCHED, slim)
-        self._on_change(self.replica.reload(revision, pairs))
+        self._on_change(self.replica.reload(revision, pairs, trio.current_time()))
 
     async def sync(self) -> None:
         """Return once the replica holds all that was written before this call; Away if it can't, or not in time."""
--- a/pepperlatch/controller/users.py
+++ b/pepperlatch/controller/users.py
@@ -2,7 +2,7 @@
 
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -26,6 +26,13 @@
 log = logging.getLogger(__name__)
 
 
+Tell = Callable[[str, store.JobRecord, int], Awaitable[None]]
+
+
+async def nobody(job_id: str, record: store.JobRecord, version: int) -> None:
+    """Nobody else is told of a cancellation."""
+
+
 class Malformed(Exception):
     """Answered with 400."""
 
@@ -101,6 +108,10 @@
         raise Impossible(f"a task of {reasons.each(spec)} fits no allowed machine type ({allowed})")
     if spec.zone is not None and not any(spec.zone in t.zones for t in fitting):
         raise Impossible(f"no machine type that a task fits exists in zone {spec.zone[: c.NAME_SHOWN]}")
+    if spec.spread and spec.tasks > 1 and spec.kind is not Kind.ARRAY:  # all at once, half of them in one zone at most
+        zones = {zone for t in fitting for zone in t.zones if spec.zone in (None, zone)}
+        if spec.one_zone or len(zones) < 2:
+            raise Impossible("its tasks must be apart, and there is only one zone for them all")
 
 
 def standing_reason(replica: Replica, job_id: str) -> Reason | None:
@@ -120,7 +131,7 @@
 class Users:
     def __init__(
         self, settings: Settings, watched: Watched, state: StateClient, wall: Callable[[], float],
-        progress: Callable[[str], Progress | None],
+        progress: Callable[[str], Progress | None], tell: Tell = nobody,
     ) -> None:  # fmt: skip
         self._settings = settings
         self._watched = watched
@@ -128,6 +139,7 @@
         self._state = state
         self._wall = wall
         self._progress = progress
+        self._tell = tell
         self._queue: dict[str, _Submission] = {}
         self._wake = trio.Event()
         self.types: list[MachineType] = []  # as this node asked the cloud; the state service's copy serves as well
@@ -339,5 +351,6 @@
                 outcome = await self._state.txn([wire.when(key, entry.version)], [wire.put(key, wire.to_plain(record))])
                 if outcome.applied:  # known here before its user is told: others vouch by what this node knows
                     self._watched.learn([(job_id, record, outcome.revision)])
+                    await self._tell(job_id, record, outcome.revision)
                     return Response(200, wire.job_answer(job_id, JobState.CANCELLED))
         return later()
--- a/pepperlatch/controller/vouching.py
+++ b/pepperlatch/controller/vouching.py
@@ -6,6 +6,7 @@
 `docs/safety.md`).
 """
 
+import contextlib
 import logging
 from collections.abc import Callable
 from typing import Any
@@ -23,7 +24,7 @@
 from pepperlatch.settings import Peer
 
 log = logging.getLogger(__name__)
-PEER_VOUCH = "/peer/vouch"
+PEER_VOUCH, PEER_CANCELLED = "/peer/vouch", "/peer/cancelled"
 
 
 class Question(msgspec.Struct):
@@ -43,6 +44,7 @@
     token: int  # 0: nobody
     cancelled: list[Cancelled]
     whole: bool  # whether these are all jobs cancelled since the leader's reading that it or a life before it knew of
+    more: bool = False  # there are later ones than these, to be asked for by the last revision given
 
 
 class Vouching:
@@ -71,13 +73,28 @@
         leads = [term.token] if term is not None and not term.over else []
         token = max([held[1] if held is not None else 0, *leads])
         found = self._replica.cancelled_since(question.revision)
+        shown = found or []
+        last = shown[: c.VOUCH_MOST][-1][0] if shown else 0  # a revision may cancel several: all of them or none
         rows = [
             Cancelled(job_id, wire.to_plain(self._replica.jobs[job_id].record), version)
-            for version, job_id in (found or [])[: c.VOUCH_MOST]
+            for version, job_id in shown
+            if version <= last
         ]
         # Whoever has read all keys knows what an earlier process of this node told users.
-        whole = self._replica.loaded and found is not None and len(found) <= c.VOUCH_MOST
-        return Statement(token, rows, whole)
+        known, more = self._replica.loaded and found is not None, len(rows) < len(shown)
+        return Statement(token, rows, known and not more, known and more)
+
+    def serve_cancelled(self, body: bytes) -> Response:
+        """Another controller has had a cancellation confirmed, and tells this one before it tells the user."""
+        try:
+            row = wire.convert(orjson.loads(body), Cancelled)
+            record = wire.convert(row.record, store.JobRecord)
+        except (orjson.JSONDecodeError, msgspec.ValidationError) as error:
+            return Response(400, {"error": str(error)})
+        if not store.is_job_id(row.id) or record.state != wire.JobState.CANCELLED.value:
+            return Response(400, {"error": "wanted: a job that is cancelled"})
+        self._watched.learn([(row.id, record, row.version)])
+        return Response(200, {})
 
     # --- asking -----------------------------------------------------------------------------------
 
@@ -87,10 +104,17 @@
         statements: list[Statement] = []
 
         async def one(peer: Peer) -> None:
-            statement = await self._ask(peer, Question(term.token, self._replica.revision))
-            if statement is not None:
-                self._watched.learn([(row.id, row.record, row.version) for row in statement.cancelled])
-                statements.append(statement)
+            revision = self._replica.revision
+            while True:
+                statement = await self._ask(peer, Question(term.token, revision))
+                if statement is None:
+                    return
+                rows = statement.cancelled
+                self._watched.learn([(row.id, row.record, row.version) for row in rows])
+                if not statement.more or not rows or rows[-1].version <= revision:
+                    statements.append(statement)
+                    return
+                revision = rows[-1].version  # the rest: what was told before the first question is in one of them
 
         async with trio.open_nursery() as nursery:
             for peer in self._peers:
@@ -102,6 +126,19 @@
         elif len(statements) == len(self._peers) and all(statement.whole for statement in statements):
             term.vouched_at = max(term.vouched_at, sent)
 
+    async def tell(self, job_id: str, record: store.JobRecord, version: int) -> None:
+        """Let the leader know of a cancellation before its user does, so that it starts nothing of it any more.
+
+        Seldom more than a few ms; a leader that does not answer has it from its watch. Cancelled, it may know or not.
+        """
+        held = self._replica.leader
+        peer = next((p for p in self._peers if held is not None and p.node == held[0]), None)
+        if peer is None:
+            return
+        body = wire.to_plain(Cancelled(job_id, wire.to_plain(record), version))
+        with contextlib.suppress(NotSent, Lost):
+            await self._network.request(peer.addr, "POST", PEER_CANCELLED, body, c.TELL_S)
+
     async def _ask(self, peer: Peer, question: Question) -> Statement | None:
         try:
             body = wire.to_plain(question)
--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -24,7 +24,7 @@
 
 log = logging.getLogger(__name__)
 Key = tuple[str, int]
-SILENT = "silent"
+SILENT, OWES = "silent", "silent, perhaps with a cancelled task"
 BEGAN = ""  # in the answer of a node that may stand in: its process's age, among ages under machines' names
 SpecOf = Callable[[str], JobSpec | None]
 
@@ -34,6 +34,15 @@
     return {"job": attempt.job.spec.id, "task": attempt.task, "machine": attempt.machine.name}
 
 
+@dataclass(slots=True)
+class Departed:
+    """A job that was cancelled while some of its tasks may still be on machines that are not accounted for."""
+
+    spec: JobSpec
+    unseen: int  # tasks
+    since: float  # it was cancelled no later
+
+
 @dataclass(slots=True)
 class StandIn:
     """What the leader knows of a controller that may keep leases alive in its place."""
@@ -58,6 +67,7 @@
         self.strays: dict[str, dict[Key, TaskReport]] = {}
         self.quota = Quota({team.name: team for team in params.teams})
         self.unaccounted: set[str] = set()
+        self.departed: dict[str, Departed] = {}
         self.touched: set[Machine] = set()
         self.unsaved: set[str] = set()
         self.to_record: set[Machine] = set()
@@ -86,20 +96,45 @@
         self.dirty = True
         return job
 
-    def end_job(self, job_id: str, now: float) -> None:
+    def end_job(self, job_id: str, now: float, done: bool = False) -> None:
         """The job is cancelled or done: whatever of it still runs has to go."""
         job = self.jobs.get(job_id)
         if job is None:
             return
+        if job.old and not job.over and not done:
+            self.depart(job.spec, job.spec.tasks - len(job.done) - len(job.live), now)
         job.over = True
         job.waiting.clear()
         self.unsaved.discard(job_id)
         for attempt in list(job.live.values()):
-            self.stop(attempt, 0.0, "the job is over")
+            self._stop_over(attempt, now)
         if not job.live:
             self.jobs.pop(job_id, None)
         self.dirty = True
 
+    def _stop_over(self, attempt: Attempt, now: float) -> None:
+        machine = attempt.machine
+        self.stop(attempt, 0.0, "the job is over")
+        if machine.owes_since < 0 and (attempt.name, attempt.number) in machine.attempts:
+            machine.owes_since = now
+
+    def depart(self, spec: JobSpec, unseen: int, since: float) -> None:
+        """The job was cancelled; so many of its tasks may yet be on machines that nobody can ask."""
+        if unseen > 0 and self.rebuilding():
+            self.departed[spec.id] = Departed(spec, unseen, since)
+
+    def owes_since(self, machine: Machine) -> float | None:
+        """Since when the machine may hold a task of a cancelled job, as far as reports have shown; None: it does not.
+
+        The end of its lease proves such a task gone, but a machine that hangs ends it only once it goes on. Nobody has
+        seen a machine since a takeover whose tasks nobody knows: any job that was cancelled lately may be there.
+        """
+        if machine.owes_since >= 0:
+            return machine.owes_since
+        if machine.seen_at >= 0 or machine.name not in self.unaccounted:
+            return None
+        return min((gone.since for gone in self.departed.values() if gone.unseen), default=None)
+
     def explain(self, job: Job, reason: Reason, now: float) -> None:
         """State why the job waits, or that it does not."""
         if job.explain(reason, now):
@@ -189,17 +224,17 @@
     def _requeue(self, attempt: Attempt, now: float) -> None:
         job = attempt.job
         if job.spec.kind is Kind.GANG:
-            self._gang_lost(job)
+            self._gang_lost(job, attempt.number)
         if job.over:
             if not job.live:
                 self.jobs.pop(job.spec.id, None)
         elif attempt.task not in job.done and attempt.task not in job.live and not self._shown_elsewhere(attempt, now):
             job.waiting.appendleft(attempt.task)
 
-    def _gang_lost(self, job: Job) -> None:
-        """A gang lives or dies together: the rest must be gone before it starts again."""
+    def _gang_lost(self, job: Job, number: int) -> None:
+        """A gang lives or dies together: the rest of that attempt must be gone before it starts again."""
         for other in list(job.live.values()):
-            if other.wanted and other.state in (None, TaskState.FETCHING, TaskState.WAITING):
+            if other.number == number and other.wanted and other.state in (None, TaskState.FETCHING, TaskState.WAITING):
                 self.stop(other, 0.0, "its gang lost a task")
 
     # --- reports ----------------------------------------------------------------------------------
@@ -217,6 +252,8 @@
             return None
         if report.machine in self.gone:
             return None
+        if report.machine not in self.machines and report.tasks and report.token < self.token:
+            return None  # recorded before its first launch, until it is gone: this was said before it was returned
         machine = self.machines.get(report.machine) or self._meet(report, now)
         if machine is None:
             return None
@@ -235,6 +272,8 @@
         machine.seen_at, machine.probes, machine.probes_unheard = now, 0, 0
         if not through_others:
             machine.reached_at = now
+        if beat:
+            machine.beat_at = now
         if report.notice_s is not None and machine.notice_at is None:
             machine.notice_at = now + report.notice_s
             self.dirty = True
@@ -244,6 +283,8 @@
             self.to_release.discard(machine.name)
         self._account(machine, report, now)
         self._tasks(machine, report, now, beat)
+        if machine.owes_since >= 0 and all(attempt.wanted for attempt in machine.attempts.values()):
+            machine.owes_since = -1.0
         return machine
 
     def _heard(self, machine: Machine, report: Report) -> None:
@@ -277,17 +318,19 @@
             return None
         log.info("unexpected machine %s (%s %s)", report.machine, report.type, report.zone)
         machine = Machine(report.machine, kind, report.zone, report.spot, report.addr, Status.BOOTING, now)
+        machine.unexpected = True
         self.machines[machine.name] = machine
         return machine
 
     def _account(self, machine: Machine, report: Report, now: float) -> None:
-        if machine.status is Status.BOOTING:
-            machine.status = Status.JOINING
-            self.to_record.add(machine)
+        """One that nobody rented or listed may be an old report only: it has to show that it has heard us."""
         if report.token == self.token and not machine.fenced:
             machine.fenced = True
             machine.began_by = now  # until then an earlier leader may have answered it
             self._accounted(machine.name, now)
+        if machine.status is Status.BOOTING and (machine.fenced or machine.listed or not machine.unexpected):
+            machine.status = Status.JOINING
+            self.to_record.add(machine)
 
     def _accounted(self, name: str, now: float) -> None:
         if name in self.unaccounted:
@@ -372,7 +415,11 @@
             self.touched.add(machine)
 
     def _adopt(self, machine: Machine, task: TaskReport, now: float) -> Attempt | None:
-        """A running task that this leader has not started: an earlier leader did."""
+        """A running task that this leader has not started: an earlier leader did.
+
+        A task is started anew only once it is proven gone, and numbers grow. So of two attempts that are shown the one
+        with the smaller number is old news, though it may have come first; it counts until it is proven gone.
+        """
         parts = split_task(task.task)
         if parts is None:
             return None
@@ -380,14 +427,21 @@
         spec = None if job else self._spec_of(parts[0])
         if spec is not None:
             job = self.add_job(spec, 0, now, set(), over=True)
-        if job is None or parts[1] in job.live or parts[1] >= job.spec.tasks:
+        if job is None or parts[1] >= job.spec.tasks:
             return None
+        known = job.live.get(parts[1])
+        if known is not None:
+            if known.number >= task.attempt:
+                return None
+            self.stop(known, 0.0, "started anew elsewhere since")
+        elif job.spec.id in self.departed:
+            self.departed[job.spec.id].unseen = max(0, self.departed[job.spec.id].unseen - 1)
         attempt = Attempt(job, parts[1], task.attempt, machine, now, Phase.THERE)
         self._register(attempt)
         if parts[1] in job.waiting:
             job.waiting.remove(parts[1])
         if job.over or parts[1] in job.done:  # every task of it, not only the first one that shows up
-            self.stop(attempt, 0.0, "the job is over")
+            self._stop_over(attempt, now)
         return attempt
 
     def _exited(self, machine: Machine, attempt: Attempt | None, task: TaskReport, now: float) -> None:
@@ -480,7 +534,7 @@
         if machine.status is not Status.LEAVING:
             log.info("return %s: %s", machine.name, why, extra={"machine": machine.name})
             machine.status = Status.LEAVING
-            machine.leaves_silent = why == SILENT
+            machine.leaves_silent = why in (SILENT, OWES)
             machine.leaves_for = why
             self.to_record.discard(machine)
             self.to_release.add(machine.name)
@@ -619,11 +673,41 @@
         return bool(self.unaccounted)
 
     def count_hidden(self) -> None:
-        """While machines are unaccounted for, unseen older tasks may be running: they use their limits."""
-        self.quota.hidden = {}
-        if not self.rebuilding():
-            return
-        for job in self.jobs.values():
-            if job.old:
-                unseen = job.spec.tasks - len(job.done) - len(job.live)
-                self.quota.hidden.setdefault(job.spec.team, Use()).add(job.spec, unseen)
+        """While machines are unaccounted for, unseen older tasks may be running: they use their limits.
+
+        Those of jobs that were cancelled as well, and no more than these machines hold. So does what a machine shows
+        though another is known to run it.
+        """
+        hidden: dict[str, Use] = {}
+        if self.rebuilding():
+            for job in self.jobs.values():
+                if job.old and not job.over:
+                    unseen = job.spec.tasks - len(job.done) - len(job.live)
+                    hidden.setdefault(job.spec.team, Use()).add(job.spec, unseen)
+            for gone in self.departed.values():
+                hidden.setdefault(gone.spec.team, Use()).add(gone.spec, gone.unseen)
+            self._cap(hidden)
+        else:
+            self.departed.clear()
+        for name, task in ((name, task) for tasks in self.strays.values() for (name, _), task in tasks.items()):
+            spec = self._spec(name)
+            if spec is not None and task.state is not TaskState.EXITED:
+                hidden.setdefault(spec.team, Use()).add(spec, 1)
+        self.quota.hidden = hidden
+
+    def _cap(self, hidden: dict[str, Use]) -> None:
+        """A worker refuses what it has no room for: so no more is hidden than its machine holds."""
+        machines = [self.machines.get(name) for name in self.unaccounted]
+        known = [machine for machine in machines if machine is not None]
+        if len(known) < len(machines):
+            return  # of an unknown type
+        cpus, gpus = sum(m.type.cpus for m in known), sum(m.type.gpus for m in known)
+        for use in hidden.values():
+            use.cpus, use.gpus = min(use.cpus, cpus), min(use.gpus, gpus)
+
+    def _spec(self, task: str) -> JobSpec | None:
+        parts = split_task(task)
+        if parts is None:
+            return None
+        job = self.jobs.get(parts[0])
+        return job.spec if job is not None else self._spec_of(parts[0])
--- a/pepperlatch/policy/placement.py
+++ b/pepperlatch/policy/placement.py
@@ -14,6 +14,7 @@
 
     What only others hear of can neither be answered nor commanded: a launch sent there is held, and comes late. What
     reports and hears nothing loses what it is given with its lease, and is empty again: it would draw task after task.
+    So does what answers us and reaches no controller itself: only answers to its reports prolong its lease.
     """
     return (
         machine.status is Status.UP
@@ -22,6 +23,7 @@
         and machine.notice_at is None
         and machine.session > machine.over_session
         and now - machine.reached_at <= fresh_s
+        and now - machine.beat_at <= c.MUTE_TIMES * fresh_s
         and machine.unheard < c.UNHEARD_MOST
     )
 
@@ -31,12 +33,20 @@
     return (job.spec.tasks + 1) // 2 if job.spec.spread else job.spec.tasks
 
 
+def zone_open(job: Job, used: Counter[str], zone: str) -> bool:
+    """Whether one more task of the job may start there, given the zones of its other tasks.
+
+    Both conditions hold at once: an array that wants one zone and half its tasks apart runs so many at a time.
+    """
+    if job.spec.one_zone and used and (len(used) > 1 or zone not in used):
+        return False
+    return used[zone] < zone_bound(job)
+
+
 def zones_open(job: Job, zones: Iterable[str]) -> list[str]:
-    """Zones where one more task of the job may start, given where its other tasks are."""
+    """Zones where one more task of the job may start."""
     used = Counter(a.machine.zone for a in job.live.values())
-    if job.spec.one_zone and used:
-        return [zone for zone in used if len(used) == 1]
-    return [zone for zone in zones if used[zone] < zone_bound(job)]
+    return [zone for zone in zones if zone_open(job, used, zone)]
 
 
 def rank(machine: Machine, job: Job, used: Counter[str], start_s: float) -> tuple[float, ...]:
@@ -120,9 +130,7 @@
         heapq.heapify(self._heap)
 
     def _open(self, zone: str) -> bool:
-        if self._job.spec.one_zone and self._in_zone:
-            return len(self._in_zone) == 1 and zone in self._in_zone
-        return zone in self._zones and self._in_zone[zone] < zone_bound(self._job)
+        return (zone in self._zones or zone in self._in_zone) and zone_open(self._job, self._in_zone, zone)
 
     def fits(self, machine: Machine) -> bool:
         spec = self._job.spec
--- a/pepperlatch/policy/planner.py
+++ b/pepperlatch/policy/planner.py
@@ -332,6 +332,7 @@
         return (
             machine.zone not in self.dark
             and machine.status is Status.BOOTING
+            and not machine.unexpected
             and now - machine.born < self.cluster.boots.expected_s(machine.type)
         )
 
--- a/tests/cuts/generated.py
+++ b/tests/cuts/generated.py
@@ -17,7 +17,7 @@
 import trio
 
 from pepperlatch.protocol.http.client import Lost, NotSent
-from tests.fakes import CANCEL_S, LEASE_S, NODES, ZONES, World, job, story
+from tests.fakes import CANCEL_S, LEASE_S, NODES, ZONES, Worker, World, job, story
 
 FAULTS_FROM_S, FAULTS_TO_S, QUIET_S = 9.0, 36.0, 14.0  # s; when faults may begin, and what follows the last one
 LOOK_S = 0.2  # s; how often it is looked for the worst moment
@@ -177,6 +177,99 @@
         worker.deaf = False
 
 
+async def mute(world: World, rng: random.Random, seconds: float) -> None:
+    """Some machines reach no controller, while what is sent to them directly arrives."""
+    hit = [w for w in world.workers if w.up and rng.random() < 0.4]
+    for worker in hit:
+        worker.mute = True
+    await trio.sleep(seconds)
+    for worker in hit:
+        worker.mute = False
+
+
+async def lost_answers(world: World, rng: random.Random, seconds: float) -> None:
+    """Some transactions are carried out at once and only their answers are lost; other nodes read what they wrote."""
+    share = rng.choice([0.2, 0.5])
+    world.lose_answer = lambda source, path, body: path == "/txn" and rng.random() < share
+    await trio.sleep(seconds)
+    world.lose_answer = lambda source, path, body: False
+
+
+async def old_reports(world: World, rng: random.Random, seconds: float) -> None:
+    """What workers said a while ago reaches every controller as a new leader begins, or soon after."""
+    kept: list[tuple[str, Any]] = []
+
+    def keep(source: str, path: str, body: Any) -> float:
+        if "beat" in path and "beats" not in path and rng.random() < 0.3:
+            kept.append((source, body))
+        return 0.0
+
+    world.again = keep
+    await trio.sleep(rng.uniform(1.0, 8.0))
+    world.again = lambda source, path, body: 0.0
+    leads = [i for i, n in world.nodes.items() if n.leader is not None]
+    if leads and rng.random() < 0.8:
+        await world.bounce(rng.choice(leads), rng.choice([0.1, 3.0]))
+    await trio.sleep(rng.choice([0.0, 0.5, 2.5, 4.0, LEASE_S]))
+    for source, body in kept[-COPIES_FROM:]:
+        for index in list(world.nodes):
+            world.nursery.start_soon(_told_again, world, source, index, body)
+
+
+async def _told_again(world: World, source: str, index: int, body: Any) -> None:
+    with contextlib.suppress(NotSent, Lost):
+        await world.send(source, f"10.0.0.{index}:1", "POST", "/agent/beat", body, 4.0)
+
+
+async def cancel_now(world: World, rng: random.Random, seconds: float) -> None:
+    """Jobs that run are called off within a fifth of a second, at different nodes; some of their machines hang."""
+    async with trio.open_nursery() as nursery:
+        for one in list(world.jobs.values()):
+            if world.running(one) and rng.random() < 0.5:
+                for worker in world.hosts(one)[:2]:
+                    if rng.random() < 0.4 and not worker.hung:
+                        nursery.start_soon(_hang_for, world, worker, min(seconds, 2 * CANCEL_S))
+                nursery.start_soon(_cancel, world, rng, one, rng.uniform(0.0, 0.2))
+
+
+async def _hang_for(world: World, worker: Worker, seconds: float) -> None:
+    worker.hung = True
+    await trio.sleep(seconds)
+    if not worker.gone:
+        worker.resume()
+        await world.free(lambda source, host: host == worker.name)
+
+
+async def _cancel(world: World, rng: random.Random, one: dict[str, Any], after_s: float) -> None:
+    await trio.sleep(after_s)
+    for _ in range(20):
+        if world.nodes:
+            with contextlib.suppress(NotSent, Lost):
+                index = rng.choice(sorted(world.nodes))
+                if (await world.ask(index, "POST", f"/work/{one['name_id']}/cancel"))[0] == 200:
+                    return
+        await trio.sleep(1.0)
+
+
+async def close_looks(world: World, rng: random.Random, seconds: float) -> None:
+    """All nodes are asked for all jobs within milliseconds, and submissions are repeated."""
+    until = trio.current_time() + min(seconds, 10.0)
+    async with trio.open_nursery() as nursery:
+        while trio.current_time() < until:
+            for job_id in list(world.observer.told):
+                for index in list(world.nodes):
+                    nursery.start_soon(_look, world, rng, world.jobs[job_id], index)
+            await trio.sleep(rng.choice([0.003, 0.5, 1.5]))
+
+
+async def _look(world: World, rng: random.Random, one: dict[str, Any], index: int) -> None:
+    with contextlib.suppress(NotSent, Lost):
+        if rng.random() < 0.3:
+            await world.ask(index, "POST", "/work", one)
+        else:
+            await world.ask(index, "GET", f"/work/{one['name_id']}")
+
+
 async def slow_state(world: World, rng: random.Random, seconds: float) -> None:
     """Every answer of the state service takes long, or those to one, or to its reads alone."""
     alone, reads = rng.choice([None, *NODES[: world.count]]), rng.random() < 0.4
@@ -210,6 +303,7 @@
 FAULTS: list[Fault] = [
     cut, cut, cut, cut, hang, end, bounce, bounce, bounce, repeat, repeat, reboot, outage, outage, cloud_outage, die,
     late_writes, late_writes, late_reports, late_reports, deaf, deaf, slow_state, slow_state, isolate, isolate, isolate,
+    mute, mute, lost_answers, lost_answers, old_reports, old_reports, cancel_now, cancel_now, close_looks, close_looks,
 ]  # fmt: skip
 
 
--- a/tests/meetings/test_cancelled_in_an_outage.py
+++ b/tests/meetings/test_cancelled_in_an_outage.py
@@ -148,6 +148,7 @@
 
 
 BEFORE = [-2.0, -1.0, 0.0, 0.5, 1.0, 1.5, 1.9]
+AT_ONCE = [-0.05, -0.02, 0.0, 0.003, 0.01, 0.03, 0.06, 0.1, 0.2]
 AFTER = [*(float(n) for n in range(-2, 11)), 10.45]
 
 
@@ -160,6 +161,11 @@
     story(Day(2.0, lasts * CANCEL_S, alone, BEFORE).tell)
 
 
+@pytest.mark.parametrize(("alone", "count"), [*((alone, 3) for alone in ALONE), ("refused", 7), ("cut", 7)])
+def test_an_outage_a_second_after_cancellations_at_the_very_moment_of_the_refusal(alone: str, count: int) -> None:
+    story(Day(1.0, 1.5 * CANCEL_S, alone, AT_ONCE).tell, count)
+
+
 @pytest.mark.parametrize("alone", ALONE)
 @pytest.mark.parametrize("count", [3, 7])
 def test_an_outage_that_begins_after_a_successor_is_there(alone: str, count: int) -> None:
--- /dev/null
+++ b/tests/meetings/test_limits.py
@@ -0,0 +1,170 @@
+"""Teams at their limit while jobs are cancelled whose machines nobody can ask, and the leader changes."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+import pytest
+import trio
+
+from pepperlatch.policy.cluster import Cluster
+from pepperlatch.policy.quota import Use
+from pepperlatch.protocol import wire
+from tests.cuts.test_sessions import HOLD_S, TOKEN, cluster_of, report
+from tests.fakes import CANCEL_S, HALL, LAB, NODES, ZONES, Platform, Worker, World, job, settings_of, story
+from tests.test_edges import machine, spec_of
+
+
+def lose(world: World, worker: Worker, how: str) -> None:
+    """Nobody can ask the machine any more; what runs there goes on, or hangs."""
+    if how == "hung":
+        worker.hung = True
+        return
+    for index in range(world.count):
+        world.cut(NODES[index], worker.name, "hold")
+
+
+@dataclass
+class AtItsLimit:
+    """All that a team may use runs, partly where nobody can ask; its job is cancelled beside the leader's end."""
+
+    how: str
+    cancel_s: float  # after the leader's end
+    shape: str = "sweep"
+    platform: Platform = HALL
+    before: bool = False  # the next job is there before the leader ends
+
+    async def tell(self, world: World) -> None:
+        world.cloud.capacity = Counter({zone: 8 for zone in world.platform.zones})
+        for zone in world.platform.zones:  # none has lost all its machines when some hang
+            for _ in range(3):
+                world.cloud.create(zone)
+        size = {"cores": 8.0} if self.platform is HALL else {"cores": 8.0, "gpus": 2.0}
+        count = 4 if self.platform is HALL else 6
+        lasts = 0.0 if self.shape == "daemon" else 400.0
+        first, second = (
+            job(n, shape=self.shape, pieces=count, expected_s=lasts, pull_gb=0.0, **size) for n in (1, 2)
+        )
+        await world.submit(first)
+        await world.until(lambda: world.running(first) == count, 60)
+        hit = world.hosts(first)[:2]
+        await trio.sleep(2.0)
+        for worker in hit:
+            lose(world, worker, self.how)
+        old = world.leader()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.cancel, world, (old + 1) % world.count, max(0.0, 2.0 + self.cancel_s))
+            await trio.sleep(max(0.0, -self.cancel_s))
+            if self.before:
+                await world.submit(second, (old + 2) % world.count)
+            if self.cancel_s >= 0:
+                await trio.sleep(2.0)
+            world.kill(old)
+        there = sum(1 for w in hit for t in w.tasks.values() if t.state != "ended")
+        assert there, "they held its tasks when it was cancelled"
+        await world.until(lambda: any(n.leader and n.leader.ready for n in world.nodes.values()), 15)
+        assert world.leader() != old
+        if not self.before:
+            await world.submit(second, world.leader())
+        await world.until(lambda: world.running(second) == count, 2 * CANCEL_S)
+        await world.heal()
+        for worker in hit:
+            if not worker.gone:
+                worker.resume()
+        await trio.sleep(5.0)
+
+    async def cancel(self, world: World, index: int, after_s: float) -> None:
+        await trio.sleep(after_s)
+        assert (await world.ask(index, "POST", "/work/run-000001/cancel"))[0] == 200
+
+
+@pytest.mark.parametrize("how", ["cut", "hung"])
+@pytest.mark.parametrize("cancel_s", [-2.0, -0.3, 0.0, 0.5, 2.5, 4.0])
+def test_tasks_of_cancelled_jobs_that_nobody_can_see_count_against_their_team(how: str, cancel_s: float) -> None:
+    """Seen on reading: a job that was over at a takeover, or ended during it, counted nowhere while machines ran it."""
+    story(AtItsLimit(how, cancel_s).tell)
+
+
+@pytest.mark.parametrize(("count", "shape", "platform"), [(7, "daemon", HALL), (3, "group", HALL), (3, "sweep", LAB)])
+def test_so_do_services_gangs_and_limits_in_gpus(count: int, shape: str, platform: Platform) -> None:
+    story(AtItsLimit("cut", -0.3, shape, platform).tell, count, platform=platform)
+
+
+def test_so_they_do_for_jobs_that_were_there_before_the_leader_ended() -> None:
+    story(AtItsLimit("cut", 0.5, before=True).tell)
+
+
+def test_a_leader_that_was_not_there_at_the_cancellation_counts_it_too() -> None:
+    """All controllers end, and know only what they read at their start."""
+
+    async def tell(world: World) -> None:
+        world.cloud.capacity = Counter({zone: 8 for zone in ZONES})
+        first, second = (job(n, pieces=4, cores=8.0, expected_s=400.0, pull_gb=0.0) for n in (1, 2))
+        await world.submit(first)
+        await world.until(lambda: world.running(first) == 4, 40)
+        hit = world.hosts(first)[:2]
+        await trio.sleep(2.0)
+        for worker in hit:
+            lose(world, worker, "cut")
+        assert (await world.ask(1, "POST", "/work/run-000001/cancel"))[0] == 200
+        for index in range(3):
+            world.kill(index)
+        await trio.sleep(0.2)
+        for index in range(3):
+            world.start(index)
+        await world.until(lambda: any(n.leader and n.leader.ready for n in world.nodes.values()), 15)
+        assert all(w.tasks for w in hit)
+        while (await world.submit(second, 2))[0] != 201:
+            await trio.sleep(0.5)
+        await world.until(lambda: world.running(second) == 4, 2 * CANCEL_S)
+
+    story(tell)
+
+
+def old_cluster(*names: str) -> Cluster:
+    cluster = cluster_of(*(machine(name) for name in names))
+    cluster.params = settings_of(0).params
+    return cluster
+
+
+def test_no_more_is_hidden_than_the_unaccounted_machines_hold() -> None:
+    cluster = old_cluster("n-1", "n-2")
+    cluster.add_job(spec_of(1, pieces=50, cores=2.0), 3, 0.0, set())
+    cluster.count_hidden()
+    assert cluster.quota.hidden["red"].cpus == 16.0
+    cluster.on_report(report(1, 1), 1.0, beat=True)
+    cluster.count_hidden()
+    assert cluster.quota.hidden["red"].cpus == 8.0
+    cluster.unaccounted.add("of a type that nobody knows")
+    cluster.count_hidden()
+    assert cluster.quota.hidden["red"].cpus == 100.0
+
+
+def test_what_a_machine_shows_though_another_runs_it_counts_as_well() -> None:
+    cluster = old_cluster("n-1", "n-2")
+    cluster.add_job(spec_of(1, pieces=1, cores=4.0), 3, 0.0, set())
+    for name in ("n-2", "n-1"):
+        shown = [{"piece": "run-000001/0", "try": 41 if name == "n-1" else 42, "status": "running"}]
+        cluster.on_report(report(1, 1, perch=name, pieces=shown), 1.0, beat=True)
+    cluster.count_hidden()
+    assert (cluster.quota.of("red").cpus, cluster.quota.hidden) == (4.0, {"red": Use(4.0, 0.0)})
+    cluster.on_report(report(1, 2), 2.0, beat=True)
+    cluster.count_hidden()
+    assert cluster.quota.hidden == {}
+
+
+def test_a_cancelled_job_counts_until_its_tasks_are_seen_or_all_machines_are() -> None:
+    spec: wire.JobSpec = spec_of(1, pieces=3, cores=2.0)
+    cluster = Cluster("n", TOKEN, settings_of(0).params, 0.0, HOLD_S, lambda job_id: spec)
+    for name in ("n-1", "n-2"):
+        cluster.machines[name] = machine(name)
+        cluster.unaccounted.add(name)
+    cluster.depart(spec, 3, 0.0)
+    cluster.count_hidden()
+    assert cluster.quota.hidden["red"].cpus == 6.0
+    shown = [{"piece": "run-000001/1", "try": 41, "status": "running"}]
+    cluster.on_report(report(1, 1, pieces=shown), 1.0, beat=True)
+    cluster.count_hidden()
+    assert (cluster.quota.of("red").cpus, cluster.quota.hidden["red"].cpus) == (2.0, 4.0)
+    cluster.on_report(report(1, 1, perch="n-2"), 2.0, beat=True)
+    cluster.count_hidden()
+    assert cluster.quota.hidden == {}
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -165,6 +165,7 @@
         world.observer.done["run-000001"] = {0, 3}
         world.observer.done["run-000007"] = {0, 1, 2}
         world.jobs["run-000007"], world.jobs["run-000008"] = job(7, pieces=3), job(8)
+        world.observer.asked_to_cancel.add("run-000008")
         for index in range(3):
             world.start(index)
         await world.until(lambda: world.state.job_state("run-000001") == "done", 60)
