--- a/tests/meetings/test_machines_and_leaders.py
+++ b/tests/meetings/test_machines_and_leaders.py
@@ -121,6 +121,28 @@
     story(tell)
 
 
+def test_machines_that_hang_with_a_cancelled_task_are_returned_in_time_however_many_are_silent() -> None:
+    """Half of them; so many at once look like a cut, in which living machines are kept."""
+
+    async def tell(world: World) -> None:
+        world.cloud.capacity = Counter({"a": 2, "b": 1, "c": 1})
+        board = job(1, shape="daemon", pieces=2, cores=8.0, expected_s=0.0, crew="blue")
+        runs = job(2, pieces=2, cores=8.0, expected_s=400.0)
+        for one in (board, runs):
+            await accepted(world, one)
+        await world.until(lambda: world.running(board) == 2 and world.running(runs) == 2, 40)
+        hit = world.hosts(runs)
+        for worker in hit:
+            worker.hung = True
+        await trio.sleep(1.0)
+        assert (await world.ask(0, "POST", "/work/run-000002/cancel"))[0] == 200
+        await trio.sleep(CANCEL_S - 3.0)
+        assert all(w.gone for w in hit) and world.running(board) == 2
+        await trio.sleep(CANCEL_S)
+
+    story(tell)
+
+
 # --- machines that are up at once -------------------------------------------------------------------
 
 
