--- a/tests/meetings/test_vouching.py
+++ b/tests/meetings/test_vouching.py
@@ -1,10 +1,13 @@
 """While the state service answers nobody, the controllers know together what one reading would have told."""
 
+import orjson
 import pytest
 import trio
 
 from pepperlatch.constants import core as c
-from pepperlatch.controller.vouching import PEER_CANCELLED
+from pepperlatch.controller.vouching import PEER_CANCELLED, Statement
+from pepperlatch.protocol import wire
+from pepperlatch.protocol.http.server import Request
 from tests.fakes import CANCEL_S, LEASE_S, NODES, World, job, story
 
 
@@ -187,3 +190,30 @@
     story(tell)
 
 
+
+
+def test_what_another_says_of_a_cancellation_is_checked_and_an_earlier_version_need_not_listen() -> None:
+    async def tell(world: World) -> None:
+        board = await settled(world)
+        leads = world.leader()
+        node, other = world.nodes[leads], (leads + 1) % 3
+        record, version = world.state.keys["j/job/run-000001"][:2]
+        row = {"id": "run-000001", "record": {**record, "state": "withdrawn"}, "version": version}
+        bad = [
+            b"{", b"[]", {**row, "id": 5}, {**row, "id": "nobody"}, {**row, "version": "7"}, {**row, "record": {}},
+            {**row, "record": record}, {"id": "run-000001"}, {**row, "record": {**record, "state": "done"}},
+        ]  # fmt: skip
+        for body in bad:
+            payload = body if isinstance(body, bytes) else orjson.dumps(body)
+            response = await node.handle_peer(Request("POST", PEER_CANCELLED, payload))
+            assert (response.status, "error" in response.body) == (400, True), body
+        assert (await node.handle_peer(Request("POST", PEER_CANCELLED, orjson.dumps(row)))).status == 200
+        assert await world.status(board) != "withdrawn", "of a version that is known already: late news"
+        assert wire.convert({"token": 1, "cancelled": [], "whole": True}, Statement).more is False
+        world.lose_answer = lambda source, path, body: path == PEER_CANCELLED
+        begun = trio.current_time()
+        assert (await world.ask(other, "POST", "/work/run-000001/cancel"))[1]["status"] == "withdrawn"
+        assert trio.current_time() - begun < 2 * c.TELL_S + 0.1, "its user does not wait for a leader that says nothing"
+        await world.until(lambda: world.running(board) == 0, 3)
+
+    story(tell)
