Scale runs: real controllers beside thousands of hollow workers, measured and judged

Results as a table and JSON, two side by side with 'scale compare'. Bounds: 300 processes, 12 GB, loopback only, every process ended by its id. Gangs are not played; a zone's cut takes its workers from all controllers; links between controllers have no delay and no cuts of their own yet.

--- a/pepperlatch/command/cli.py
+++ b/pepperlatch/command/cli.py
@@ -381,5 +381,68 @@
     return pipelines.schedules(talk, "DELETE", f"/{name}")
 
 
+# --- scale runs -----------------------------------------------------------------------------------
+
+
+class _ScaleGroup(click.Group):
+    """What is no subcommand is the scenario of a run: `pepperlatch scale small`."""
+
+    def resolve_command(self, ctx: click.Context, args: list[str]) -> Any:
+        if args and args[0] not in self.commands and not args[0].startswith("-"):
+            args = ["run", *args]
+        return super().resolve_command(ctx, args)
+
+
+@cli.group(cls=_ScaleGroup)
+def scale() -> None:
+    """Run real controllers beside thousands of hollow workers, and measure them.
+
+    \b
+    Examples:
+      pepperlatch scale small
+      pepperlatch scale two-years --share 0.25 --report quarter.json
+      pepperlatch scale compare before.json after.json
+
+    Needs: pip install 'pepperlatch[scale]'
+    """
+
+
+@scale.command(name="run")
+@click.argument("scenario", metavar="SCENARIO")
+@click.option("--share", type=click.FloatRange(min=0, min_open=True, max=1), default=1.0, help="of workers and jobs")
+@click.option("--length", type=click.FloatRange(min=1), metavar="S", help="seconds to measure")
+@click.option("--seed", type=int, help="other arrivals and choices")
+@click.option(
+    "--program", type=click.Path(exists=True, dir_okay=False, path_type=Path), help="another run.py to measure"
+)
+@click.option("--report", type=click.Path(dir_okay=False, path_type=Path), help="a file for the result, as JSON")
+@click.option("--keep", type=click.Path(file_okay=False, path_type=Path), help="a folder for logs and histories")
+@click.option("--output", type=click.Choice(["table", "json"]), default="table")
+def scale_run(
+    scenario: str, share: float, length: float | None, seed: int | None, program: Path | None, report: Path | None,
+    keep: Path | None, output: str,
+) -> int:  # fmt: skip
+    """Play a scenario: a file, or one that comes with the program (small, today, idle, two-years)."""
+    from pepperlatch.command import scale
+    from pepperlatch.scale.processes import ROOT
+    from pepperlatch.scale.scenario import ScenarioError
+
+    try:
+        played = scale.wanted(scenario, share, length, seed)
+    except ScenarioError as error:
+        raise click.UsageError(str(error)) from None
+    return scale.run(played, (program or ROOT / "run.py").resolve(), report, keep, output)
+
+
+@scale.command(name="compare")
+@click.argument("one", type=click.Path(path_type=Path))
+@click.argument("other", type=click.Path(path_type=Path))
+def scale_compare(one: Path, other: Path) -> int:
+    """Two results (`--report`) side by side."""
+    from pepperlatch.command import scale
+
+    return scale.compare(one, other)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/pepperlatch/protocol/http/client.py
+++ b/pepperlatch/protocol/http/client.py
@@ -179,6 +179,11 @@
         self._wake(link)
         self._close(link)
 
+    def close(self) -> None:
+        """Close all pooled connections; a request that is under way keeps its own."""
+        while self._resting:
+            self._drop(next(iter(self._resting)))
+
     def drop_idle(self) -> None:
         """Close pooled connections that nobody used for a while."""
         now = trio.current_time()
--- /dev/null
+++ b/pepperlatch/scale/limits.py
@@ -0,0 +1,23 @@
+"""A rate that a hollow service allows; what is beyond it is refused at once."""
+
+from dataclasses import dataclass
+
+from pepperlatch.protocol.budget import Budget
+
+
+@dataclass(slots=True)
+class RateLimit:
+    """`rate` a second, with bursts of `burst_s` seconds' worth."""
+
+    rate: float
+    burst_s: float = 1.0
+    _budget: Budget | None = None
+
+    def take(self, now: float, amount: float = 1.0) -> bool:
+        """Whether `amount` is within the limit; it is taken if so."""
+        if self._budget is None:
+            self._budget = Budget(self.rate, self.burst_s, self.rate * self.burst_s, now)
+        if self._budget.available(now) < amount:
+            return False
+        self._budget.wait_for(now, amount)
+        return True
--- /dev/null
+++ b/tests/scale/test_runs.py
@@ -0,0 +1,103 @@
+"""Scenarios are checked with the place of a mistake; a small run plays to its end and leaves no process behind."""
+
+import os
+from pathlib import Path
+
+import pytest
+
+from pepperlatch.command.cli import main
+from pepperlatch.scale import bounds, results, scenario
+from pepperlatch.scale.addresses import Addresses
+from pepperlatch.scale.cloud import Fleet
+from pepperlatch.scale.deployment import controller_zones, settings_text
+from pepperlatch.settings import parse
+
+SMALL = """
+name = "x"
+controllers = 2
+workers = 20
+hosts = 1
+settle_s = 2.0
+length_s = 5.0
+changes_per_hour = 3600.0
+zones = [{ name = "a", region = "r" }, { name = "b", region = "s" }]
+classes = [
+    { name = "batch", tasks = 5, run_s = 1.0, per_minute = 60.0 },
+    { name = "service", shape = "daemon", tasks = 2, at_start = 1 },
+]
+troubles = [
+    { what = "kill", at_s = 1.0, which = "leader", back_after_s = 0.5 },
+    { what = "machines", at_s = 1.0, action = "restart", count = 2 },
+]
+"""
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "said"),
+    [
+        ("workers = 20", "workers = 0", "$.workers"),
+        ("tasks = 5", "tasks = 5, colour = 1", "colour"),
+        ("run_s = 1.0", "run_s = 1.0, cpus = 99.0", "classes[0]: a task of batch fits no machine"),
+        ('which = "leader"', 'which = "moon"', "troubles[0].which: leader, follower or one of r, s"),
+        ("at_s = 1.0, action", "at_s = 9.0, action", "troubles[1].at_s: after the end"),
+        ('name = "b"', 'name = "a"', "zones: 'a' stands there twice"),
+    ],
+)
+def test_a_mistake_in_a_scenario_is_told_with_its_place(old: str, new: str, said: str) -> None:
+    with pytest.raises(scenario.ScenarioError) as caught:
+        scenario.parse(SMALL.replace(old, new))
+    assert said in str(caught.value)
+
+
+def test_shipped_scenarios_are_sound_and_give_sound_settings() -> None:
+    assert {"small", "today", "two-years", "idle"} <= set(scenario.shipped_names())
+    for name in scenario.shipped_names():
+        played = scenario.load(name)
+        settings = parse(settings_text(played, Addresses(20_000), 0))
+        assert (settings.params.nodes, len(settings.params.teams)) == (played.controllers, played.teams.count)
+        assert len(set(controller_zones(played))) == min(played.controllers, len(played.zones))
+        quarter = played.scaled(0.25)
+        assert quarter.workers == played.workers / 4
+        fleet = Fleet(quarter)
+        assert {fleet.zone(number) for number in range(quarter.workers)} == {zone.name for zone in played.zones}
+
+
+def test_a_run_that_is_too_large_is_refused_before_it_starts(
+    capsys: pytest.CaptureFixture[str], tmp_path: Path
+) -> None:
+    for change, said in ((("hosts = 1", "hosts = 400"), "processes"), (("workers = 20", "workers = 90000"), "MB")):
+        path = tmp_path / "large.toml"
+        path.write_text(SMALL.replace(*change), "utf-8")
+        with pytest.raises(bounds.TooLarge, match=said):
+            bounds.check(scenario.load(str(path)))
+        assert main(["scale", str(path)]) == 2
+        assert said in capsys.readouterr().err
+
+
+def test_a_small_run_with_real_controllers_keeps_the_rules_and_ends_all(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path, report, kept = tmp_path / "small.toml", tmp_path / "one.json", tmp_path / "kept"
+    path.write_text(SMALL, "utf-8")
+    assert main(["scale", str(path), "--report", str(report), "--keep", str(kept)]) == 0
+    result = results.load(report)
+    assert result.breaches == []
+    assert result.answers.get("200", 0) > 0
+    assert sum(process.lives for process in result.processes if process.name.startswith("node")) == 3
+    assert result.starts["batch"]["count"] > 0
+    assert "starts a second" in capsys.readouterr().out
+    assert main(["scale", "compare", str(report), str(report)]) == 0
+    assert "leader, share of a core" in capsys.readouterr().out
+    assert not _processes_of(kept)
+
+
+def _processes_of(folder: Path) -> list[str]:
+    """Command lines of living processes that name the folder of a run."""
+    found = []
+    for entry in Path("/proc").iterdir():
+        if entry.name.isdigit() and int(entry.name) != os.getpid():
+            try:
+                found.append((entry / "cmdline").read_bytes().decode("utf-8", "replace"))
+            except OSError:
+                continue
+    return [line for line in found if str(folder) in line]
