--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -13,19 +13,18 @@
 from pepperlatch import __version__
 from pepperlatch.constants import core as c
 from pepperlatch.controller.admin import Admin
+from pepperlatch.controller.contacts import PEER_BAR, PEER_CONTACT, Contacts
 from pepperlatch.controller.heartbeats.forwarding import PEER_HEARTBEAT, PEER_HEARTBEATS
-from pepperlatch.controller.heartbeats.handler import HeartbeatHandler, LeaderContact
+from pepperlatch.controller.heartbeats.handler import HeartbeatHandler
 from pepperlatch.controller.leader import Leader
 from pepperlatch.controller.leadership import Leadership, Term, hold_seconds
-from pepperlatch.controller.owner import Owner, Reply
+from pepperlatch.controller.owner import Owner
 from pepperlatch.controller.parts import Core, Part, Parts, Told
 from pepperlatch.controller.peers import PEER_FENCE, PEER_INSPECT, Peers
 from pepperlatch.controller.store import Replica, Watched
 from pepperlatch.controller.users import Progress, Users
 from pepperlatch.controller.vouching import PEER_CANCELLED, PEER_VOUCH, Vouching
-from pepperlatch.policy.delegation import DelegationAnswer, DelegationStatement
 from pepperlatch.policy.images import ImageMemory
-from pepperlatch.policy.model import Status
 from pepperlatch.policy.reasons import Reason, Why
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.cloud import CloudClient, CloudTrouble
@@ -37,16 +36,7 @@
 from pepperlatch.settings import Peer, Settings, split_address
 
 log = logging.getLogger(__name__)
-IMAGES, DELEGATION = "images", "delegation"  # among the rows of jobs, whose ids all begin with run-
-PEER_CONTACT, PEER_BAR, PEER_HEALTH = "/peer/contact", "/peer/bar", "/peer/health"
-
-
-class PeerMessage(msgspec.Struct):
-    node: str
-    token: int
-    relay: list[str] = []  # machines that the leader reaches only through others
-    images: int = 0  # the last number of an image's use that the leader has told
-    delegation: DelegationStatement | None = None  # of a follower that takes delegations
+PEER_HEALTH = "/peer/health"
 
 
 class HeartbeatBatch(msgspec.Struct):
@@ -54,15 +44,6 @@
     node: str = ""  # who forwards them, if it takes delegations
 
 
-def _message(body: bytes) -> PeerMessage | None:
-    try:
-        message: PeerMessage = wire.convert(orjson.loads(body), PeerMessage)
-        return message
-    except (orjson.JSONDecodeError, msgspec.ValidationError) as error:
-        log.info("a malformed message of another controller is refused: %s", error)
-        return None
-
-
 class Node:
     def __init__(
         self, settings: Settings, network: Network, clock: Callable[[], float] = trio.current_time,
@@ -95,11 +76,12 @@
         )  # fmt: skip
         self.parts = Parts([part(core) for part in parts])
         self.images = ImageMemory()
-        self._images_told = (0, 0)  # by the leader with this token, up to this number of its own
+        self.contacts = Contacts(
+            settings, network, clock, self.owner, self.replica, self.heartbeats, self.leadership, self.vouching,
+            self.images, lambda: self.leader,
+        )  # fmt: skip
         self.leader: Leader | None = None
-        self._shown: tuple[int, float, dict[str, Any]] = (0, float("-inf"), {})  # under this token, since then
         self._nursery: trio.Nursery | None = None
-        self._peer_answered_at = float("-inf")
         self._peers_good = False  # others have the state service, or are out of reach as it is
         self._silent_rounds = 0  # in which none of them answered
 
@@ -110,7 +92,7 @@
             self._nursery = nursery
             loops = (
                 self.owner.run, self.watched.watch, self.watched.serve_syncs, self.users.create_loop,
-                self._contact_loop, self._health_loop, self._homes_loop, self._types_loop, self.parts.run,
+                self.contacts.run, self._health_loop, self._homes_loop, self._types_loop, self.parts.run,
                 self.heartbeats.forwarder.run, partial(self.watched.keep_current, lambda: self.leader is not None),
             )  # fmt: skip
             for loop in loops:
@@ -189,11 +171,11 @@
             follower = beats.node if self._peer(beats.node) is not None else ""
             return Response(200, {"answers": await self.heartbeats.lead_all(beats.beats, follower)})
         if request.path == PEER_CONTACT and request.method == "POST":
-            return await self._on_contact(request.body)
+            return await self.contacts.serve_contact(request.body)
         if request.path in (PEER_INSPECT, PEER_FENCE) and request.method == "POST":
             return await self.peers.serve(request)
         if request.path == PEER_BAR and request.method == "POST":
-            return self._on_bar(request.body)
+            return self.contacts.serve_bar(request.body)
         if request.path == PEER_VOUCH and request.method == "POST":
             return self.vouching.serve(request.body)
         if request.path == PEER_CANCELLED and request.method == "POST":
@@ -203,50 +185,6 @@
             return Response(200, {"state": state, "leader": self.heartbeats.hears_leader()})
         return await self.parts.handle(request, operators=True) or await self.admin.handle(request)
 
-    async def _on_contact(self, body: bytes) -> Response:
-        """A follower asks what it may show users, and may stand in for us from now on."""
-        leader, asked = self.leader, _message(body)
-        if asked is None:
-            return Response(400, {"error": "wanted: node and token"})
-        if leader is None or asked.token != leader.term.token or leader.term.over:
-            return Response(404, {"error": "does not lead"})
-        now = self._clock()
-        leader.cluster.answered_peer(asked.node, now)
-        jobs = self._shown_jobs(leader, now)
-        if uses := self.images.after(asked.images):
-            jobs[IMAGES] = uses
-        if asked.delegation is not None and self._peer(asked.node) is not None:
-            delegation = await self._delegate(leader, asked.node, asked.delegation)
-            if delegation is not None:
-                jobs[DELEGATION] = msgspec.to_builtins(delegation)
-        return Response(200, jobs)
-
-    async def _delegate(self, leader: Leader, follower: str, statement: DelegationStatement) -> DelegationAnswer | None:
-        """None if the leader may not, or is busy: the contact itself must not wait for that."""
-        reply: Reply[DelegationAnswer | None] = Reply()
-        proven_at = leader.term.proven_at()
-        self.owner.post(lambda: leader.on_statement(follower, statement, proven_at, reply))
-        with trio.move_on_after(c.DELEGATION_WAIT_S):
-            return await reply.get()
-        return None
-
-    def _shown_jobs(self, leader: Leader, now: float) -> dict[str, Any]:
-        """What followers may show users of each job; made once for those that ask at about the same time."""
-        if self._shown[0] != leader.term.token or now - self._shown[1] > c.SHOWN_S:
-            rows = {
-                j.spec.id: [j.running(), len(j.done), j.reason.text(), round(now - j.reason_since, 1), j.reason.kind]
-                for j in leader.cluster.jobs.values() if not j.over
-            }  # fmt: skip
-            self._shown = (leader.term.token, now, rows)
-        return dict(self._shown[2])
-
-    def _on_bar(self, body: bytes) -> Response:
-        """The leader is in touch."""
-        message = _message(body)
-        if message is None:
-            return Response(400, {"error": "wanted: node and token"})
-        return Response(200, self.heartbeats.barred(message.relay))
-
     def _progress(self, job_id: str) -> Progress | None:
         if self.leader is not None:
             job = self.leader.cluster.jobs.get(job_id)
@@ -259,89 +197,6 @@
         reason = Reason(Why.UNKNOWN, said=row[2])  # the leader's own words, whatever its version
         return Progress(row[0], row[1], reason, row[3] + self._clock() - self.heartbeats.contact.at)
 
-    async def _contact_loop(self) -> None:
-        while True:
-            await trio.sleep(c.CONTACT_EVERY_S)
-            held, leader = self.replica.leader, self.leader
-            if leader is not None:
-                relayed = sorted(leader.cluster.relayed(self._clock()))
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._delegate_to_itself, leader)
-                    for peer in self.settings.peers:
-                        nursery.start_soon(self._bar, leader, peer, relayed)
-                    if self._clock() - self.replica.current_at > c.VOUCH_AFTER_S:
-                        nursery.start_soon(self.vouching.ask, leader.term)
-                if why := self._cannot_lead(leader):
-                    log.info("%s: it hands over", why)
-                    await self.leadership.resign(c.HANDOVER_PAUSE_S)
-            elif held is not None and (peer_leads := self._peer(held[0])) is not None:
-                await self._contact_leader(peer_leads, held[1])
-
-    def _cannot_lead(self, leader: Leader) -> str:
-        """Keeping the lease is not enough to lead; why another should."""
-        if self._alone(leader):
-            return "neither workers nor other controllers reach this leader"
-        term = leader.term
-        if term.checked_at - max(self.replica.current_at, term.answered_since) > c.HANDOVER_STALE_S:
-            return "this leader's lease is answered, and its reads are not"
-        return ""
-
-    def _alone(self, leader: Leader) -> bool:
-        """Reports must come in, directly or passed on."""
-        machines = [m for m in leader.cluster.machines.values() if m.status is Status.UP]
-        since = max([leader.cluster.started, self._peer_answered_at, *(m.seen_at for m in machines)])
-        return bool(machines) and self._clock() - since > c.HANDOVER_REPORTS * self.settings.params.workers.report_s
-
-    async def _contact_leader(self, peer: Peer, token: int) -> None:
-        sent = self._clock()
-        told = self._images_told[1] if self._images_told[0] == token else 0
-        statement = self.heartbeats.delegated.statement(token, sent)
-        answer = await self._ask_peer(peer, PEER_CONTACT, token, images=told, delegation=statement)
-        if answer is not None:
-            self._take_delegation(statement, answer.pop(DELEGATION, None), token, sent)
-            self._images_told = (token, max(told, self.images.learn(answer.pop(IMAGES, []))))
-            self.heartbeats.contact = LeaderContact(sent, token, answer)
-
-    def _take_delegation(self, statement: DelegationStatement, plain: Any, token: int, sent: float) -> None:
-        """What the leader lets this node answer; nothing if it is of an earlier version."""
-        if plain is None:
-            return
-        try:
-            answer: DelegationAnswer = wire.convert(plain, DelegationAnswer)
-        except msgspec.ValidationError as error:
-            log.info("a delegation that cannot be read: %s", error)
-            return
-        self.heartbeats.delegated.prolonged(statement, answer, token, sent)
-
-    async def _delegate_to_itself(self, leader: Leader) -> None:
-        """What reports to the leader's own listener is answered as at any follower's."""
-        token, sent = leader.term.token, self._clock()
-        statement = self.heartbeats.delegated.statement(token, sent)
-        answer = await self._delegate(leader, self.settings.node, statement)
-        if answer is not None:
-            self.heartbeats.delegated.prolonged(statement, answer, token, sent)
-
-    async def _bar(self, leader: Leader, peer: Peer, relayed: list[str]) -> None:
-        """Counted from before the question, the promise is shorter for us than for the one that gave it."""
-        sent = self._clock()
-        answer = await self._ask_peer(peer, PEER_BAR, leader.term.token, relayed)
-        if answer is not None:
-            self._peer_answered_at = self._clock()
-            until = sent + c.STAND_IN_BAR_S - c.STAND_IN_SLACK_S
-            self.owner.post(lambda: leader.cluster.on_promise(peer.node, answer, until, self._clock()))
-
-    async def _ask_peer(
-        self, peer: Peer, path: str, token: int, relay: list[str] | None = None, images: int = 0,
-        delegation: DelegationStatement | None = None,
-    ) -> dict[str, Any] | None:  # fmt: skip
-        try:
-            message = PeerMessage(self.settings.node, token, relay or [], images, delegation)
-            body = msgspec.to_builtins(message)
-            status, answer = await self._network.request(peer.addr, "POST", path, body, c.PROBE_S)
-        except (NotSent, Lost):
-            return None
-        return answer if status == 200 and isinstance(answer, dict) else None
-
     async def _health_loop(self) -> None:
         """Only while this node has no good answer itself does it ask whether the others do."""
         while True:
