Scale runs: tasks of a job differ in length, and SIGTERM ends a run as Ctrl-C does

Seen: tasks of one length ended together, so that a worker's changes shared a heartbeat; a run in the background of a shell that ignores Ctrl-C could only be killed, and left its processes.

--- a/pepperlatch/command/scale.py
+++ b/pepperlatch/command/scale.py
@@ -1,5 +1,6 @@
 """`pepperlatch scale`: options read, a run played with its progress shown, its result printed."""
 
+import signal
 import sys
 import time
 from pathlib import Path
@@ -72,6 +73,7 @@
 
 def run(played: Scenario, program: Path, report: Path | None, keep: Path | None, form: str) -> int:
     """Play it and print the result; 1 if a rule was broken, 2 if it cannot be played."""
+    _end_like_ctrl_c()
     bar = _Bar() if sys.stderr.isatty() else None
     show = bar.show if bar is not None else _Lines().show
     try:
@@ -88,6 +90,12 @@
     return REFUSED if result.breaches else OK
 
 
+def _end_like_ctrl_c() -> None:
+    """Asked to end by a signal, also in the background of a shell that ignores Ctrl-C, a run ends its processes."""
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    signal.signal(signal.SIGTERM, lambda number, frame: signal.raise_signal(signal.SIGINT))
+
+
 def print_result(result: Result, form: str) -> None:
     if form == "json":
         output.json(msgspec.to_builtins(result))
--- a/pepperlatch/constants/scale.py
+++ b/pepperlatch/constants/scale.py
@@ -21,6 +21,7 @@
 TOOL_BUSY_SHARE: Final = 0.85  # share of a core; a hollow process beyond it may itself be the bound
 MACHINE_BUSY_SHARE: Final = 0.9  # share of all cores; beyond it the machine may be the bound
 
+RUN_SPREAD: Final = 0.3  # share by which tasks of a job differ in length; in step they would all end together
 ANSWER_S: Final = 4.0  # s; a worker drops answers after this (PROTOCOL)
 REPORT_SPREAD: Final = 0.25  # share by which the interval between two reports varies (PROTOCOL)
 REPORT_GAP_S: Final = 0.5  # s; least time between two reports of a worker (PROTOCOL)
--- a/pepperlatch/scale/machine.py
+++ b/pepperlatch/scale/machine.py
@@ -6,7 +6,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
+from zlib import crc32
 
+from pepperlatch.constants import scale as c
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.wire import Cause, TaskState
 from pepperlatch.scale.history import AnyEvent, LeaseEnded, TaskStarted, TaskStopped
@@ -185,7 +187,7 @@
             self._exit(key, task, Cause.DONE, now)
             return
         task.state, task.started = TaskState.RUNNING, True
-        task.due_at = None if task.needs.service else now + task.needs.run_s
+        task.due_at = None if task.needs.service else now + task.needs.run_s * _length(key[0])
         self.record(TaskStarted(now, self.name, self.zone, key[0], key[1]))
 
     def _keep_image(self, needs: JobNeeds) -> None:
@@ -235,6 +237,11 @@
         self.changed = True
 
 
+def _length(task: str) -> float:
+    """How long the task runs, in times of its job's mean; the same wherever it runs."""
+    return 1 + c.RUN_SPREAD * (2 * crc32(task.encode()) / 0xFFFFFFFF - 1)
+
+
 def needs_of(spec: wire.JobSpec) -> JobNeeds:
     """A job's description as a worker reads it."""
     service = spec.kind is wire.Kind.SERVICE
--- a/tests/scale/test_runs.py
+++ b/tests/scale/test_runs.py
@@ -1,6 +1,9 @@
 """Scenarios are checked with the place of a mistake; a small run plays to its end and leaves no process behind."""
 
 import os
+import signal
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -91,6 +94,18 @@
     assert not _processes_of(kept)
 
 
+def test_a_run_that_is_asked_to_end_ends_all_its_processes(tmp_path: Path) -> None:
+    path, kept = tmp_path / "long.toml", tmp_path / "kept"
+    path.write_text(SMALL.replace("length_s = 5.0", "length_s = 500.0"), "utf-8")
+    command = [sys.executable, "-m", "pepperlatch.command.cli", "scale", str(path), "--keep", str(kept)]
+    with subprocess.Popen(command, stderr=subprocess.PIPE, text=True) as run:
+        assert run.stderr is not None
+        assert any("settling" in line for line in run.stderr)
+        run.send_signal(signal.SIGTERM)
+        assert run.wait(20) == 130
+    assert not _processes_of(kept)
+
+
 def _processes_of(folder: Path) -> list[str]:
     """Command lines of living processes that name the folder of a run."""
     found = []
