--- a/pepperlatch/command/cli.py
+++ b/pepperlatch/command/cli.py
@@ -411,6 +411,7 @@
 @click.argument("scenario", metavar="SCENARIO")
 @click.option("--share", type=click.FloatRange(min=0, min_open=True, max=1), default=1.0, help="of workers and jobs")
 @click.option("--length", type=click.FloatRange(min=1), metavar="S", help="seconds to measure")
+@click.option("--settle", type=click.FloatRange(min=1), metavar="S", help="seconds until measuring begins")
 @click.option("--seed", type=int, help="other arrivals and choices")
 @click.option(
     "--program", type=click.Path(exists=True, dir_okay=False, path_type=Path), help="another run.py to measure"
@@ -419,16 +420,16 @@
 @click.option("--keep", type=click.Path(file_okay=False, path_type=Path), help="a folder for logs and histories")
 @click.option("--output", type=click.Choice(["table", "json"]), default="table")
 def scale_run(
-    scenario: str, share: float, length: float | None, seed: int | None, program: Path | None, report: Path | None,
-    keep: Path | None, output: str,
+    scenario: str, share: float, length: float | None, settle: float | None, seed: int | None, program: Path | None,
+    report: Path | None, keep: Path | None, output: str,
 ) -> int:  # fmt: skip
-    """Play a scenario: a file, or one that comes with the program (small, today, idle, two-years)."""
+    """Play a scenario: a file, or one that comes with the program (small, today, idle, two-years, failures)."""
     from pepperlatch.command import scale
     from pepperlatch.scale.processes import ROOT
     from pepperlatch.scale.scenario import ScenarioError
 
     try:
-        played = scale.wanted(scenario, share, length, seed)
+        played = scale.wanted(scenario, share, length, settle, seed)
     except ScenarioError as error:
         raise click.UsageError(str(error)) from None
     return scale.run(played, (program or ROOT / "run.py").resolve(), report, keep, output)
--- a/pepperlatch/command/scale.py
+++ b/pepperlatch/command/scale.py
@@ -61,14 +61,13 @@
     )
 
 
-def wanted(name: str, share: float, length_s: float | None, seed: int | None) -> Scenario:
+def wanted(name: str, share: float, length_s: float | None, settle_s: float | None, seed: int | None) -> Scenario:
     """The scenario with what the command line changes. Raises ScenarioError."""
     found = scenario.load(name)
     if share != 1.0:
         found = found.scaled(share)
-    if length_s is not None:
-        found = msgspec.structs.replace(found, length_s=length_s)
-    return found if seed is None else msgspec.structs.replace(found, seed=seed)
+    given = {"length_s": length_s, "settle_s": settle_s, "seed": seed}
+    return msgspec.structs.replace(found, **{name: value for name, value in given.items() if value is not None})
 
 
 def run(played: Scenario, program: Path, report: Path | None, keep: Path | None, form: str) -> int:
--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -158,18 +158,8 @@
     # --- the controllers' listener ----------------------------------------------------------------
 
     async def handle_peer(self, request: Request) -> Response:
-        if request.path == PEER_HEARTBEAT and request.method == "POST":
-            try:
-                return await self.heartbeats.lead(wire.convert(orjson.loads(request.body), Report))
-            except (orjson.JSONDecodeError, msgspec.ValidationError) as error:
-                return Response(400, {"error": str(error)})
-        if request.path == PEER_HEARTBEATS and request.method == "POST":
-            try:
-                beats = wire.convert(orjson.loads(request.body), HeartbeatBatch)
-            except (orjson.JSONDecodeError, msgspec.ValidationError) as error:
-                return Response(400, {"error": str(error)})
-            follower = beats.node if self._peer(beats.node) is not None else ""
-            return Response(200, {"answers": await self.heartbeats.lead_all(beats.beats, follower)})
+        if request.path in (PEER_HEARTBEAT, PEER_HEARTBEATS) and request.method == "POST":
+            return await self._forwarded(request)
         if request.path == PEER_CONTACT and request.method == "POST":
             return await self.contacts.serve_contact(request.body)
         if request.path in (PEER_INSPECT, PEER_FENCE) and request.method == "POST":
@@ -185,6 +175,19 @@
             return Response(200, {"state": state, "leader": self.heartbeats.hears_leader()})
         return await self.parts.handle(request, operators=True) or await self.admin.handle(request)
 
+    async def _forwarded(self, request: Request) -> Response:
+        """Heartbeats that another controller forwards: one by itself, or several. Refused whole if malformed."""
+        try:
+            plain = orjson.loads(request.body)
+            if request.path == PEER_HEARTBEAT:
+                return await self.heartbeats.lead(wire.convert(plain, Report))
+            batch = wire.convert(plain, HeartbeatBatch)
+        except (orjson.JSONDecodeError, msgspec.ValidationError) as error:
+            log.info("forwarded heartbeats are refused: %s", error)
+            return Response(400, {"error": str(error)})
+        follower = batch.node if self._peer(batch.node) is not None else ""
+        return Response(200, {"answers": await self.heartbeats.lead_all(batch.beats, follower)})
+
     def _progress(self, job_id: str) -> Progress | None:
         if self.leader is not None:
             job = self.leader.cluster.jobs.get(job_id)
--- a/pepperlatch/controller/heartbeats/handler.py
+++ b/pepperlatch/controller/heartbeats/handler.py
@@ -139,7 +139,7 @@
             seconds = min(c.RELAY_S, max(c.HEARTBEAT_RETRY_S, until - self._clock()))
             self.delegated.forwarded(report)
             status, answer = await self.forwarder.forward(self._addr[leader], plain, seconds)
-            if status == 200:
+            if status == 200 and isinstance(answer, dict):
                 number = answer.pop(GRANT, None)
                 self.delegated.granted(report, number, wire.answered_token(answer), self._clock())
                 return Response(200, answer)
