--- a/pepperlatch/scale/host.py
+++ b/pepperlatch/scale/host.py
@@ -48,15 +48,12 @@
                 await self._report_all()
         self._network.close()
 
-    def _changed(self) -> None:
+    def touched(self) -> None:
+        """Something was done to the machine: look at what is due, and report a change."""
         self._due.set()
         if self.machine.changed:
             self._wake.set()
 
-    def touched(self) -> None:
-        """Something was done to the machine from outside."""
-        self._changed()
-
     # --- tasks ------------------------------------------------------------------------------------
 
     async def _carry_out(self) -> None:
@@ -113,7 +110,7 @@
             return c.NEXT_NODE_S
         if status == 200:
             self.machine.take_answer(answer, session, sent_at, now)
-            self._changed()
+            self.touched()
             return 0.0
         named = self._host.controller_of(answer) if status == 421 else None
         self._network.close()
@@ -142,7 +139,7 @@
             status, report = self.machine.take_command(orjson.loads(request.body), now)
         except (orjson.JSONDecodeError, KeyError, TypeError) as error:
             return Response(400, {"error": f"malformed: {error}"})
-        self._changed()
+        self.touched()
         return Response(status, report)
 
 
--- a/pepperlatch/scale/observer.py
+++ b/pepperlatch/scale/observer.py
@@ -19,7 +19,6 @@
 )
 
 DONE, CANCELLED = "done", "withdrawn"
-ALL_JOBS = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/pepperlatch/scale/services.py
+++ b/pepperlatch/scale/services.py
@@ -19,7 +19,6 @@
 
 class Services:
     def __init__(self, plan: control.Plan) -> None:
-        self._plan = plan
         self._addresses = Addresses(plan.port)
         self._hosts = [self._addresses.host(index) for index in range(plan.scenario.hosts)]
         self._network = HttpNetwork(64)
