--- a/pepperlatch/command/cli.py
+++ b/pepperlatch/command/cli.py
@@ -130,9 +130,7 @@
 
 # --- the view -------------------------------------------------------------------------------------
 
-ZONE = click.option(
-    "--zone", default="", metavar="NAME", help="time zone, e.g. Asia/Amman; else this machine's"
-)
+ZONE = click.option("--zone", default="", metavar="NAME", help="time zone, e.g. Asia/Amman; else this machine's")
 
 
 @cli.command()
--- a/pepperlatch/command/serve.py
+++ b/pepperlatch/command/serve.py
@@ -10,6 +10,7 @@
     from pepperlatch.controller.parts import Core, Part
     from pepperlatch.features import Features
 
+
 def serve(path: str, features_path: Path | None = None) -> int:
     """Run a controller until something kills it; 2 if a file cannot be used."""
     from pepperlatch import features, logs
--- a/pepperlatch/pipelines/compile.py
+++ b/pepperlatch/pipelines/compile.py
@@ -214,4 +214,3 @@
     """`render` with a region `St. Ann` is `render-St.-Ann`."""
     fit = [_UNFIT.sub("-", str(value)).strip("-._") or "none" for value in values.values()]
     return "-".join([step.name, *fit])
-
--- a/pepperlatch/pipelines/scheduler.py
+++ b/pepperlatch/pipelines/scheduler.py
@@ -99,9 +99,7 @@
         record.paused = held is not None and held.paused
         pieces = held.pieces if held is not None else 0
         await self._service.room(1)
-        outcome = await self._service.commit(
-            schedules.kept(name, version, record, packed, pieces, self._value_kb)
-        )
+        outcome = await self._service.commit(schedules.kept(name, version, record, packed, pieces, self._value_kb))
         return Response(200, self._row(name, record)) if outcome.applied else later()
 
     async def _pause(self, name: str, record: ScheduleRecord, version: int, paused: bool) -> Response:
--- a/pepperlatch/policy/planner.py
+++ b/pepperlatch/policy/planner.py
@@ -449,7 +449,9 @@
         idle = [
             m
             for m in self.cluster.machines.values()
-            if m.status is Status.UP and not m.attempts and m.idle_since is not None
+            if m.status is Status.UP
+            and not m.attempts
+            and m.idle_since is not None
             and not self.zones.kept(m.zone, now)
         ]
         out = []
--- a/pepperlatch/protocol/http/client.py
+++ b/pepperlatch/protocol/http/client.py
@@ -123,9 +123,7 @@
                 raise NotSent(f"{addr}: {error!r}") from None
             raise
 
-    async def _exchange(
-        self, link: _Link, addr: str, method: str, path: str, payload: bytes
-    ) -> tuple[int, str, bytes]:
+    async def _exchange(self, link: _Link, addr: str, method: str, path: str, payload: bytes) -> tuple[int, str, bytes]:
         conn, stream = link.conn, link.stream
         headers = [("Host", addr), ("Content-Length", str(len(payload))), ("Content-Type", "application/json")]
         if self.gzip:
--- a/tests/acceptance/test_back_at_once.py
+++ b/tests/acceptance/test_back_at_once.py
@@ -266,5 +266,3 @@
 
     assert not reaped(3.0)
     assert reaped(3.0 + c.COPIES_S)
-
-
--- a/tests/meetings/test_vouching.py
+++ b/tests/meetings/test_vouching.py
@@ -190,8 +190,6 @@
     story(tell)
 
 
-
-
 def test_what_another_says_of_a_cancellation_is_checked_and_an_earlier_version_need_not_listen() -> None:
     async def tell(world: World) -> None:
         board = await settled(world)
--- a/tests/zones/test_carrying.py
+++ b/tests/zones/test_carrying.py
@@ -121,5 +121,3 @@
         assert (await world.send("x", f"10.0.0.{other}:2", "POST", PEER_BEATS, {"beats": 3}, 4.0))[0] == 400
 
     story(tell)
-
-
