--- a/tests/heartbeats/test_delegation.py
+++ b/tests/heartbeats/test_delegation.py
@@ -265,6 +265,27 @@
     story(tell, count)
 
 
+@pytest.mark.parametrize("count", [2, 3, 7])  # with two, a zone has no controller
+@pytest.mark.parametrize("frozen_s", [2.0, 7.0, 25.0])
+def test_a_leader_that_stands_still_keeps_nothing_alive_for_longer_than_its_proof(count: int, frozen_s: float) -> None:
+    async def tell(world: World) -> None:
+        body = await running(world)
+        kept = await running(world, 2, crew="blue", cores=1.0)
+        leader = world.leader()
+        world.nursery.start_soon(world.freeze, leader, frozen_s)
+        await trio.sleep(0.5)
+        follower = (leader + 1) % count
+        await world.until(lambda: world.nodes[follower].replica.loaded, 10)
+        with trio.fail_after(30):
+            while (await world.ask(follower, "POST", f"/work/{body['name_id']}/cancel", {}))[0] != 200:
+                await trio.sleep(1)
+        await trio.sleep(CANCEL_S)
+        await world.until(lambda: world.running(body) == 0, 1)
+        await world.until(lambda: world.running(kept) == 6, 30)
+
+    story(tell, count)
+
+
 @pytest.mark.parametrize("away_s", [0.1, 2.0])
 @pytest.mark.parametrize("step_s", [0.0, 0.4, 0.9, 1.7])
 def test_leader_or_follower_ends_at_any_moment_and_is_back(step_s: float, away_s: float) -> None:
