Log and metric: machines that may hold a cancelled task, since when, and why they are not returned yet

One line a decision: when a machine begins and ceases to owe, from what moment that is counted, and each change of what keeps it from being returned. pepperlatch_machines_owing and the age of the oldest. No decision changes.

--- a/pepperlatch/console/metrics.py
+++ b/pepperlatch/console/metrics.py
@@ -54,6 +54,12 @@
         for row in machine_totals(cluster.machines.values(), cluster.unaccounted):
             machines[(row["type"], row["zone"], "spot" if row["spot"] else "ordinary", row["state"])] += row["count"]
         yield _gauge("pepperlatch_machines", "Machines", ("type", "zone", "kind", "state"), machines)
+        now = leader.clock()
+        ages = [now - m.owes_since for m in cluster.machines.values() if m.owes_since >= 0]
+        text = "Machines that may hold a task of a cancelled job, as far as reports have shown"
+        yield _gauge("pepperlatch_machines_owing", text, (), {(): len(ages)})
+        text = "Seconds since the first of these cancellations"
+        yield _gauge("pepperlatch_machines_owing_oldest_seconds", text, (), {(): max(ages, default=0.0)})
         used = {(name,): cluster.quota.of(name).cpus for name in cluster.quota.teams}
         yield _gauge("pepperlatch_team_cpus", "CPUs that a team's tasks use", ("team",), used)
         most = {(name,): team.cpus_max for name, team in cluster.quota.teams.items()}
--- a/pepperlatch/controller/health.py
+++ b/pepperlatch/controller/health.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import heapq
+import logging
 import math
 from collections import Counter
 from collections.abc import Callable
@@ -19,6 +20,8 @@
 from pepperlatch.protocol.wire import Report
 from pepperlatch.protocol.workers import WorkerClient
 
+log = logging.getLogger(__name__)
+
 
 class Portion:
     """How many machines of lost zones may be given up in one look: a few at once, and only if room is needed."""
@@ -106,6 +109,7 @@
                 cluster.release(machine, "never came up")
             if machine.unheard >= c.UNHEARD_MOST or any(not a.wanted for a in machine.attempts.values()):
                 cluster.touched.add(machine)
+        self._log_kept(quiet, kept_zones, sure, now)
         if sure:
             self._give_up([machine for machine in quiet if machine.zone not in kept_zones], many, now)
         if sure and not cluster.rebuilding():
@@ -190,14 +194,39 @@
         takeover a cancelled task may be on any machine that was not heard of.
         """
         cluster, params = self._duty.cluster, self._duty.settings.params.workers
-        since = machine.owes_since
-        if since < 0:
-            since = unseen_since if machine.seen_at < 0 and machine.name in cluster.unaccounted else math.inf
+        since = self._owes_since(machine, unseen_since)
         return (
             now - since > c.OWES_SHARE * params.cancel_s
             and now - max(machine.seen_at, cluster.started) > c.SILENT_REPORTS * params.report_s
         )
 
+    def _owes_since(self, machine: Machine, unseen_since: float) -> float:
+        """Since when the machine may hold a task of a cancelled job; infinite if it holds none."""
+        if machine.owes_since >= 0:
+            return machine.owes_since
+        unheard = machine.seen_at < 0 and machine.name in self._duty.cluster.unaccounted
+        return unseen_since if unheard else math.inf
+
+    def _log_kept(self, quiet: list[Machine], kept_zones: set[str], sure: bool, now: float) -> None:
+        """Say why a silent machine that may hold a cancelled task is not returned, once and when the reason changes."""
+        unseen_since = self._duty.cluster.departed_since()
+        for machine in quiet:
+            since = self._owes_since(machine, unseen_since)
+            if math.isinf(since):
+                continue
+            if machine.zone in kept_zones:
+                because = "its zone seems cut off"
+            elif not sure:
+                because = "this leader's lease is not sure"
+            else:
+                because = "it may be heard of again"
+            if because != machine.kept_because:
+                machine.kept_because = because
+                log.info(
+                    "%s may hold a task cancelled %.1f s ago, is silent for %.1f s and is not returned yet: %s",
+                    machine.name, now - since, now - machine.seen_at, because, extra={"machine": machine.name},
+                )  # fmt: skip
+
     async def _probe(self, machine: Machine) -> None:
         report: Report | None = None
         sent = self._duty.clock()
--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -120,6 +120,10 @@
         self.stop(attempt, 0.0, "the job is over")
         if cancelled and machine.owes_since < 0 and (attempt.name, attempt.number) in machine.attempts:
             machine.owes_since = now
+            log.info(
+                "%s may hold %s of a cancelled job, counted from %.1f s ago, last heard of %.1f s ago",
+                machine.name, attempt.name, now - machine.owes_since, now - machine.seen_at, extra=_fields(attempt),
+            )  # fmt: skip
 
     def depart(self, spec: JobSpec, unseen: int, since: float) -> None:
         """The job was cancelled; so many of its tasks may yet be on machines that nobody can ask."""
@@ -281,7 +285,12 @@
         self._account(machine, report, now)
         self._tasks(machine, report, now, beat)
         if machine.owes_since >= 0 and not any(attempt.job.over for attempt in machine.attempts.values()):
+            log.info(
+                "%s holds no cancelled task any more, %.1f s after", machine.name, now - machine.owes_since,
+                extra={"machine": machine.name},
+            )  # fmt: skip
             machine.owes_since = -1.0
+            machine.kept_because = ""
         return machine
 
     def _heard(self, machine: Machine, report: Report) -> None:
--- a/pepperlatch/policy/model.py
+++ b/pepperlatch/policy/model.py
@@ -124,6 +124,9 @@
     reached_at: float = -1.0  # last report that came with a way back: a beat, or an answer to a question of ours
     beat_at: float = -1.0  # last report that waited for an answer of ours; at first when the leader took over
     owes_since: float = -1.0  # a job was cancelled then, and no report since has shown that its tasks here are gone
+    kept_because: str = (
+        ""  # why it is not returned though it may hold a cancelled task; the last reason that was logged
+    )
     unexpected: bool = False  # met by a report; neither recorded nor rented
     fenced: bool = False  # a report has shown our token: no earlier leader commands or answers it any more
     began_by: float = -1.0  # its known session had begun by then, and its worker had our token if it has it
