A silent machine that may hold a cancelled task is counted from the cancellation, and asked to be returned in time

Causes mended here: - The moment. What a machine owes was counted from the arrival of the report that showed it, or from the takeover; a late report taken in by the next leader began the time anew. Now it is counted from the last reading that did not show the cancellation (no user was told before it), by a node that began since from the time of day in the record, and by a record without one (of an earlier version) as due at once. A machine that has not shown our token may hold more than its late report shows. A task that a machine shows though another runs it is owed as well. - The bound. Half of cancel_s was picked by hand; it now follows from cancel_s less what a successor, silence, a lost request and its repetition take (policy/cancellations.py).

--- a/pepperlatch/console/metrics.py
+++ b/pepperlatch/console/metrics.py
@@ -3,6 +3,7 @@
 Labels are kinds, teams, types and zones of the deployment: nothing that grows with jobs or machines.
 """
 
+import math
 from collections import Counter
 from collections.abc import Iterator, Mapping
 from typing import TYPE_CHECKING, Any
@@ -55,7 +56,9 @@
             machines[(row["type"], row["zone"], "spot" if row["spot"] else "ordinary", row["state"])] += row["count"]
         yield _gauge("pepperlatch_machines", "Machines", ("type", "zone", "kind", "state"), machines)
         now = leader.clock()
-        ages = [now - m.owes_since for m in cluster.machines.values() if m.owes_since >= 0]
+        departed_since = cluster.departed_since(now)
+        since = (cluster.cancelled_since(machine, departed_since) for machine in cluster.machines.values())
+        ages = [now - moment for moment in since if math.isfinite(moment)]
         text = "Machines that may hold a task of a cancelled job, as far as reports have shown"
         yield _gauge("pepperlatch_machines_owing", text, (), {(): len(ages)})
         text = "Seconds since the first of these cancellations"
--- a/pepperlatch/controller/health.py
+++ b/pepperlatch/controller/health.py
@@ -13,6 +13,7 @@
 from pepperlatch.constants import zones as z
 from pepperlatch.controller.duty import Duty
 from pepperlatch.controller.peers import Peers
+from pepperlatch.policy.cancellations import return_after_s
 from pepperlatch.policy.cluster import OWES, SILENT
 from pepperlatch.policy.model import Machine, Status
 from pepperlatch.policy.zones import Seen, Zones
@@ -126,11 +127,11 @@
         """Of those that were not heard of for long; whoever was heard of is neither given up nor may have gone on."""
         cluster, planner = self._duty.cluster, self._duty.planner
         portion = Portion(planner.zones, bool(planner.needs))
-        unseen_since = cluster.departed_since()
+        departed_since = cluster.departed_since(now)
         for machine in quiet:
             if self._given_up(machine, many, now) and portion.allows(machine.zone):
                 cluster.release(machine, SILENT)
-            elif self._may_go_on(machine, unseen_since, now):
+            elif self._may_go_on(machine, departed_since, now):
                 cluster.release(machine, OWES)
 
     def _look_at_zones(self, quiet: list[Machine], now: float) -> None:
@@ -186,7 +187,7 @@
         asked = machine.probes >= (1 if fenced else c.SILENT_PROBES)
         return not many and (asked or (machine.probes_unheard > 0 and self._duty.cluster.lease_over(machine, now)))
 
-    def _may_go_on(self, machine: Machine, unseen_since: float, now: float) -> bool:
+    def _may_go_on(self, machine: Machine, departed_since: float, now: float) -> bool:
         """A machine that hangs may go on with a cancelled task: it is returned while that is in time.
 
         The end of its lease proves the task gone, but a machine that hangs ends it only once it goes on. However many
@@ -194,24 +195,18 @@
         takeover a cancelled task may be on any machine that was not heard of.
         """
         cluster, params = self._duty.cluster, self._duty.settings.params.workers
-        since = self._owes_since(machine, unseen_since)
+        since = cluster.cancelled_since(machine, departed_since)
         return (
-            now - since > c.OWES_SHARE * params.cancel_s
+            now - since > return_after_s(params)
             and now - max(machine.seen_at, cluster.started) > c.SILENT_REPORTS * params.report_s
         )
 
-    def _owes_since(self, machine: Machine, unseen_since: float) -> float:
-        """Since when the machine may hold a task of a cancelled job; infinite if it holds none."""
-        if machine.owes_since >= 0:
-            return machine.owes_since
-        unheard = machine.seen_at < 0 and machine.name in self._duty.cluster.unaccounted
-        return unseen_since if unheard else math.inf
-
     def _log_kept(self, quiet: list[Machine], kept_zones: set[str], sure: bool, now: float) -> None:
         """Say why a silent machine that may hold a cancelled task is not returned, once and when the reason changes."""
-        unseen_since = self._duty.cluster.departed_since()
+        cluster = self._duty.cluster
+        departed_since = cluster.departed_since(now)
         for machine in quiet:
-            since = self._owes_since(machine, unseen_since)
+            since = cluster.cancelled_since(machine, departed_since)
             if math.isinf(since):
                 continue
             if machine.zone in kept_zones:
--- a/pepperlatch/controller/leader.py
+++ b/pepperlatch/controller/leader.py
@@ -19,6 +19,7 @@
 from pepperlatch.controller.rentals import Rentals
 from pepperlatch.controller.store import Replica
 from pepperlatch.controller.writer import Writer
+from pepperlatch.policy.cancellations import return_after_s
 from pepperlatch.policy.cluster import Cluster
 from pepperlatch.policy.delegation import DelegationAnswer, DelegationStatement
 from pepperlatch.policy.images import ImageMemory
@@ -68,7 +69,9 @@
         self.clock = clock
         self.wall = wall
         now = clock()
-        self.cluster = Cluster(settings.node, term.token, settings.params, now, term.hold_s, self._spec_if_over)
+        self.cluster = Cluster(
+            settings.node, term.token, settings.params, now, term.hold_s, self._spec_if_over, self._cancelled_since
+        )
         self.cluster.images = images
         self.planner = Planner(self.cluster, Tuning(replica.tuning[0]))
         self._tuning_version = replica.tuning[1]
@@ -128,10 +131,10 @@
                 self.writer.turn = pair.version
             elif pair.key.startswith(store.MACHINE):
                 self._load_machine(pair.key[len(store.MACHINE) :], wire.convert(pair.value, store.MachineRecord), now)
-        for job_id, at in self.replica.cancelled_lately(now - self.settings.params.workers.cancel_s):
+        for job_id in self.replica.cancelled_lately(now - self.settings.params.workers.cancel_s):
             spec = self.replica.jobs[job_id].record.spec
             if spec is not None:
-                cluster.depart(spec, spec.tasks - len(self.replica.done_tasks(job_id)), at)
+                cluster.depart(spec, spec.tasks - len(self.replica.done_tasks(job_id)), now)
         cluster.remember()
         for pair in pairs:
             if pair.key.startswith(store.HIRE):
@@ -161,6 +164,27 @@
         entry = self.replica.jobs.get(job_id)
         return entry.record.spec if entry is not None and entry.state in wire.FINAL else None
 
+    def _cancelled_since(self, job_id: str) -> float:
+        """No user was told before then that the job is cancelled; infinite if it is not.
+
+        By this node's own readings, else by the time of day in the record. If neither can tell it may be so long ago
+        that a machine which may still hold a task of it has to be returned at once.
+        """
+        cancelled = self.replica.cancelled_by(job_id)
+        if cancelled is None:
+            return math.inf
+        told_after = self.replica.told_after(cancelled)
+        if told_after is not None:
+            return told_after
+        off_s = 2 * self.settings.params.clock_off_ms / 1000  # the writer's clock and ours
+        ago_s = self.wall() - self.replica.jobs[cancelled].record.ended + off_s
+        unknown_s = return_after_s(self.settings.params.workers)
+        return self.clock() - (ago_s if self._stamped(cancelled) and ago_s >= 0 else unknown_s)
+
+    def _stamped(self, job_id: str) -> bool:
+        """Records of earlier versions do not say when the job was cancelled."""
+        return self.replica.jobs[job_id].record.ended > 0
+
     def _add_job(self, job_id: str) -> None:
         """Only a job that is ready becomes known to the planner: what waits holds no part of anything."""
         entry = self.replica.jobs[job_id]
--- a/pepperlatch/controller/store.py
+++ b/pepperlatch/controller/store.py
@@ -16,7 +16,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 import orjson
@@ -55,7 +55,7 @@
     tasks: int = 0
     at: float = 0.0  # time of day of the submission, by the accepting node's clock
     parts: int = 0  # pieces below `PART` that hold the description instead
-    ended: float = 0.0  # time of day when it was done, by the leader's clock; 0 in records of version 0.1
+    ended: float = 0.0  # time of day when it was done or cancelled, by the writer's clock; 0 in older records
     run: str = ""  # the run of a pipeline that created it; not kept once it is over
 
 
@@ -74,6 +74,15 @@
     count: int
 
 
+class Cancellation(NamedTuple):
+    """A cancelled job as this node learned of it."""
+
+    version: int
+    job_id: str
+    learned_at: float
+    after: float  # no user was told before then: this node's copy was current and did not show it
+
+
 class Entry(msgspec.Struct, gc=False):
     """A watched job: its record, the version of its key, and the cancelled job (itself, too) that ends it, if any."""
 
@@ -102,8 +111,8 @@
     leader: tuple[str, int] | None = None
     type_pieces: dict[int, list[wire.MachineType]] = field(default_factory=dict)
     tuning: tuple[dict[str, Any], int] = field(default_factory=lambda: ({}, 0))
-    # Versions and ids of cancelled jobs, and when this node learned of each; the latest last.
-    _cancelled: deque[tuple[int, str, float]] = field(default_factory=deque)
+    _cancelled: deque[Cancellation] = field(default_factory=deque)  # the latest last
+    _cancelled_by_job: dict[str, Cancellation] = field(default_factory=dict)  # the same
     _cancelled_from: int = 0  # those of later versions are all in it
     _cancelled_after: float = -math.inf  # those learned later are all in it
     _versions: dict[str, int] = field(default_factory=dict)  # of all keys but jobs': their entries hold theirs
@@ -172,11 +181,7 @@
             return set()
         record = value if isinstance(value, JobRecord) else wire.convert(value, JobRecord)
         if record.state == wire.JobState.CANCELLED.value:
-            self._cancelled.append((version, job_id, at))
-            if len(self._cancelled) > c.VOUCH_KEPT:
-                left_out, _, learned_at = self._cancelled.popleft()
-                self._cancelled_from = max(self._cancelled_from, left_out)
-                self._cancelled_after = max(self._cancelled_after, learned_at)
+            self._remember_cancelled(Cancellation(version, job_id, at, self.current_at))
         self.jobs[job_id] = Entry(record, version, self.chain.through.get(job_id))
         touched = self._job_changed(job_id)
         if record.state == wire.JobState.DONE.value and record.spec is None:
@@ -186,6 +191,15 @@
             self.jobs[job_id].record = self._finished.setdefault((shared.state, shared.tasks), shared)
         return touched
 
+    def _remember_cancelled(self, cancellation: Cancellation) -> None:
+        self._cancelled.append(cancellation)
+        self._cancelled_by_job.setdefault(cancellation.job_id, cancellation)
+        if len(self._cancelled) > c.VOUCH_KEPT:
+            left_out = self._cancelled.popleft()
+            self._cancelled_by_job.pop(left_out.job_id, None)
+            self._cancelled_from = max(self._cancelled_from, left_out.version)
+            self._cancelled_after = max(self._cancelled_after, left_out.learned_at)
+
     def _job_changed(self, job_id: str) -> set[str]:
         """Draw the consequences for all that needs the job; the jobs touched."""
         entry = self.jobs[job_id]
@@ -228,19 +242,32 @@
         """All jobs known to be cancelled by a later revision; None if that is not kept so far back."""
         if revision < self._cancelled_from:
             return None
-        return sorted((version, job_id) for version, job_id, _ in self._cancelled if version > revision)
+        return sorted((known.version, known.job_id) for known in self._cancelled if known.version > revision)
 
-    def cancelled_lately(self, since: float) -> list[tuple[str, float]]:
-        """All jobs that may have been cancelled since then, i.e. were learned of since, and by when they were.
+    def cancelled_lately(self, since: float) -> list[str]:
+        """All jobs that may have been cancelled since then, i.e. were learned of since.
 
         If that is not kept so far back, all that ever were.
         """
-        learned = {job_id: at for _, job_id, at in self._cancelled if at >= since}
         if since <= self._cancelled_after:
             over = wire.JobState.CANCELLED.value
-            known = (job_id for job_id, entry in self.jobs.items() if entry.record.state == over)
-            return [(job_id, learned.get(job_id, self._cancelled_after)) for job_id in known]
-        return list(learned.items())
+            return [job_id for job_id, entry in self.jobs.items() if entry.record.state == over]
+        return list(dict.fromkeys(known.job_id for known in self._cancelled if known.learned_at >= since))
+
+    def cancelled_by(self, job_id: str) -> str | None:
+        """The cancelled job, itself or one that it needs, that ends the job; None if it is not cancelled."""
+        entry = self.jobs.get(job_id)
+        if entry is None or entry.state is not wire.JobState.CANCELLED:
+            return None
+        return entry.through or job_id
+
+    def told_after(self, job_id: str) -> float | None:
+        """No user was told before then that this job was cancelled; None if this node's readings cannot tell.
+
+        They cannot if it was cancelled before this node began, or so many jobs ago that it is not remembered.
+        """
+        known = self._cancelled_by_job.get(job_id)
+        return known.after if known is not None and math.isfinite(known.after) else None
 
     # --- what follows from it ---------------------------------------------------------------------
 
@@ -325,9 +352,9 @@
     return changes + [wire.put(f"{PART}{spec.id}/{n}", {"text": text}) for n, text in enumerate(parts)]
 
 
-def cancelled(record: JobRecord, value_kb: float) -> JobRecord:
-    """What stays of a cancelled job: of a long description only what its last tasks are counted by."""
-    held = JobRecord(wire.JobState.CANCELLED.value, record.spec, record.tasks, record.at)
+def cancelled(record: JobRecord, value_kb: float, ended: float) -> JobRecord:
+    """What stays of a job cancelled at that time of day; of a long description only what its last tasks count by."""
+    held = JobRecord(wire.JobState.CANCELLED.value, record.spec, record.tasks, record.at, ended=ended)
     if record.spec is not None and not fits(wire.to_plain(held), value_kb):
         held.spec = msgspec.structs.replace(record.spec, types=None, needs=None, zone=None, image="", job_class="")
     return held
--- a/pepperlatch/controller/users.py
+++ b/pepperlatch/controller/users.py
@@ -346,7 +346,7 @@
                     return Response(404, {"error": "no such job"})
                 if entry.state in wire.FINAL:
                     return Response(200, wire.job_answer(job_id, entry.state))
-                record = store.cancelled(entry.record, self._settings.params.state.value_kb)
+                record = store.cancelled(entry.record, self._settings.params.state.value_kb, self._wall())
                 key = store.JOB + job_id
                 outcome = await self._state.txn([wire.when(key, entry.version)], [wire.put(key, wire.to_plain(record))])
                 if outcome.applied:  # known here before its user is told: others vouch by what this node knows
--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -29,6 +29,7 @@
 SILENT, OWES = "silent", "silent, perhaps with a cancelled task"
 BEGAN = ""  # in the answer of a node that may stand in: its process's age, among ages under machines' names
 SpecOf = Callable[[str], JobSpec | None]
+CancelledSince = Callable[[str], float]  # no user was told before then that the job is cancelled; infinite: it is not
 
 
 def _fields(attempt: Attempt) -> dict[str, Any]:
@@ -42,7 +43,7 @@
 
     spec: JobSpec
     unseen: int  # tasks
-    since: float  # it was cancelled no later
+    since: float  # it was cancelled no earlier
 
 
 @dataclass(slots=True)
@@ -55,13 +56,17 @@
 
 
 class Cluster:
-    def __init__(self, node: str, token: int, params: Params, now: float, hold_s: float, spec_of: SpecOf) -> None:
+    def __init__(
+        self, node: str, token: int, params: Params, now: float, hold_s: float, spec_of: SpecOf,
+        cancelled_since: CancelledSince = lambda job_id: math.inf,
+    ) -> None:  # fmt: skip
         self.node = node
         self.token = token
         self.params = params
         self.hold_s = hold_s
         self.blind_until = now + hold_s + params.workers.lease_s * (1 + c.CLOCK_DRIFT)
         self._spec_of = spec_of  # of a job that is over, whose tasks may still show up
+        self._cancelled_since = cancelled_since
         self.types: dict[str, MachineType] = {}
         self.jobs: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
@@ -107,6 +112,8 @@
         if job.old and not job.over and not done:
             self.depart(job.spec, job.spec.tasks - len(job.done) - len(job.live), now)
         job.over = True
+        if not done:
+            self._stray_cancelled(job_id, now)
         job.waiting.clear()
         self.unsaved.discard(job_id)
         for attempt in list(job.live.values()):
@@ -116,23 +123,62 @@
         self.dirty = True
 
     def _stop_over(self, attempt: Attempt, now: float, cancelled: bool) -> None:
-        machine = attempt.machine
         self.stop(attempt, 0.0, "the job is over")
-        if cancelled and machine.owes_since < 0 and (attempt.name, attempt.number) in machine.attempts:
-            machine.owes_since = now
+        if cancelled and (attempt.name, attempt.number) in attempt.machine.attempts:
+            self._may_hold(attempt.machine, attempt.name, attempt.job.spec.id, now)
+
+    def _may_hold(self, machine: Machine, task: str, job_id: str, now: float) -> None:
+        """The machine may hold this task of a cancelled job: counted from the cancellation, whenever that shows."""
+        since = min(now, self._cancelled_since(job_id))
+        if since < machine.cancelled_since:
+            machine.cancelled_since = since
             log.info(
                 "%s may hold %s of a cancelled job, counted from %.1f s ago, last heard of %.1f s ago",
-                machine.name, attempt.name, now - machine.owes_since, now - machine.seen_at, extra=_fields(attempt),
+                machine.name, task, now - since, now - machine.seen_at, extra={"job": job_id, "machine": machine.name},
             )  # fmt: skip
 
-    def depart(self, spec: JobSpec, unseen: int, since: float) -> None:
+    def _stray_cancelled(self, job_id: str, now: float) -> None:
+        """A task that one machine shows though another runs it has to go with its job as well."""
+        for name, tasks in self.strays.items():
+            machine = self.machines.get(name)
+            for task, _ in tasks:
+                if machine is not None and task.rpartition("/")[0] == job_id:
+                    self._may_hold(machine, task, job_id, now)
+
+    def _may_hold_stray(self, machine: Machine, task: str, now: float) -> None:
+        job_id = task.rpartition("/")[0]
+        if math.isfinite(self._cancelled_since(job_id)):
+            self._may_hold(machine, task, job_id, now)
+
+    def _holds_cancelled(self, machine: Machine) -> bool:
+        """Whether a task of a job that is over may be there, as far as reports have shown."""
+        strays = (task.rpartition("/")[0] for task, _ in self.strays.get(machine.name, {}))
+        return any(attempt.job.over for attempt in machine.attempts.values()) or any(
+            job.over if (job := self.jobs.get(job_id)) is not None else self._spec_of(job_id) is not None
+            for job_id in strays
+        )
+
+    def depart(self, spec: JobSpec, unseen: int, now: float) -> None:
         """The job was cancelled; so many of its tasks may yet be on machines that nobody can ask."""
         if unseen > 0 and self.rebuilding():
-            self.departed[spec.id] = Departed(spec, unseen, since)
+            self.departed[spec.id] = Departed(spec, unseen, min(now, self._cancelled_since(spec.id)))
+
+    def departed_since(self, now: float) -> float:
+        """Since when a job may have been cancelled that may have tasks on unaccounted machines; infinite: none was.
 
-    def departed_since(self) -> float:
-        """When the first of the jobs was cancelled whose tasks may be on machines not seen since a takeover."""
-        return min((gone.since for gone in self.departed.values() if gone.unseen), default=math.inf)
+        What was cancelled longer ago than `cancel_s` is not looked for.
+        """
+        lately = (gone.since for gone in self.departed.values() if now - gone.since <= self.params.workers.cancel_s)
+        return min(lately, default=math.inf) if self.rebuilding() else math.inf
+
+    def cancelled_since(self, machine: Machine, departed_since: float) -> float:
+        """Since when the machine may hold a task of a cancelled job; infinite if it holds none.
+
+        One that has not shown our token may hold more than its reports have shown, which may have been under way for
+        long: any task of a job that was cancelled lately.
+        """
+        unaccounted = machine.name in self.unaccounted
+        return min(machine.cancelled_since, departed_since) if unaccounted else machine.cancelled_since
 
     def explain(self, job: Job, reason: Reason, now: float) -> None:
         """State why the job waits, or that it does not."""
@@ -284,12 +330,12 @@
             self.to_release.discard(machine.name)
         self._account(machine, report, now)
         self._tasks(machine, report, now, beat)
-        if machine.owes_since >= 0 and not any(attempt.job.over for attempt in machine.attempts.values()):
+        if math.isfinite(machine.cancelled_since) and not self._holds_cancelled(machine):
             log.info(
-                "%s holds no cancelled task any more, %.1f s after", machine.name, now - machine.owes_since,
+                "%s holds no cancelled task any more, %.1f s after", machine.name, now - machine.cancelled_since,
                 extra={"machine": machine.name},
             )  # fmt: skip
-            machine.owes_since = -1.0
+            machine.cancelled_since = math.inf
             machine.kept_because = ""
         return machine
 
@@ -372,6 +418,7 @@
                 self._progress(attempt, task.state, now)
             else:
                 strays[key] = task
+                self._may_hold_stray(machine, key[0], now)
         if strays:
             self.strays[machine.name] = strays
         else:
@@ -579,7 +626,7 @@
             and not machine.unheard
             and machine.offered is None
             and machine.notice_at is None
-            and machine.owes_since < 0
+            and math.isinf(machine.cancelled_since)
             and all(attempt.phase is Phase.THERE and attempt.wanted for attempt in machine.attempts.values())
         )
 
--- a/pepperlatch/policy/model.py
+++ b/pepperlatch/policy/model.py
@@ -1,5 +1,6 @@
 """What the leader knows: jobs, attempts, machines. Data and sums only; rules live in the policies."""
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
@@ -123,7 +124,7 @@
     newest_at: float = -1.0  # when the newest of its messages came, by session and number
     reached_at: float = -1.0  # last report that came with a way back: a beat, or an answer to a question of ours
     beat_at: float = -1.0  # last report that waited for an answer of ours; at first when the leader took over
-    owes_since: float = -1.0  # a job was cancelled then, and no report since has shown that its tasks here are gone
+    cancelled_since: float = math.inf  # a job that may have a task here was cancelled no earlier; infinite: none was
     kept_because: str = (
         ""  # why it is not returned though it may hold a cancelled task; the last reason that was logged
     )
