Notices and ages count from when they began, not from when this node heard of them

Symptoms: tasks on a spot machine were told to save up to as many seconds too late as the first report with a notice had been under way; a machine that never comes up was waited for anew by each leader that repeats its hire, and paid for. Causes: the first report fixed the notice's end; a machine's age began at the answer to the hire.

--- a/pepperlatch/controller/rentals.py
+++ b/pepperlatch/controller/rentals.py
@@ -162,6 +162,8 @@
                 self._duty.cluster.dirty = True
             if machine is not None:
                 machine.listed = True
+                if machine.status is Status.BOOTING:  # a repeated hire, or a report, tells nothing of its age
+                    machine.born = min(machine.born, now - item.age_s)
                 if item.state == wire.FAILED:
                     self._duty.cluster.release(machine, "failed")
         lag = self._duty.settings.params.cloud.list_lag_s * c.LIST_LAG_TIMES + c.CLOUD_LIST_EVERY_S
--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -336,9 +336,8 @@
             machine.reached_at = now
         if beat:
             machine.beat_at = now
-        if report.notice_s is not None and machine.notice_at is None:
-            machine.notice_at = now + report.notice_s
-            self.dirty = True
+        if report.notice_s is not None:
+            self._noticed(machine, now + report.notice_s)
         if machine.leaves_silent and machine.name not in self.releasing:
             log.info("%s is heard of again", machine.name)
             machine.status, machine.leaves_silent, machine.return_needs_lease = Status.UP, False, True
@@ -354,6 +353,12 @@
             machine.kept_because = ""
         return machine
 
+    def _noticed(self, machine: Machine, at: float) -> None:
+        """The cloud takes the machine then, or sooner: each report may have been under way for seconds."""
+        if machine.notice_at is None:
+            self.dirty = True
+        machine.notice_at = at if machine.notice_at is None else min(machine.notice_at, at)
+
     def _heard(self, machine: Machine, report: Report) -> None:
         """Whether our answers arrive there. A worker reports again only once it has the last answer or has dropped it.
 
