Room that is kept has an end, and what a stream starves takes its turn

Symptoms: a job ran nothing for 90 s beside room that fits (tests/test_waits.py, 3 of 3 failed), and a gang or array of the size of its team's limit had not begun after 240 s under a stream of small jobs (tests/gangs/test_turns.py, 3 of 4 failed). Causes: thrift and room for replicas had no end; the order gives what comes free to whoever is small enough.

A job that runs nothing for 75 s begins in kept room, one task of it or all of a gang. Of each team the job that has waited longest beyond 200 s (a gang 100 s) goes first, and a gang is left what comes free, half of the time.

--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -257,6 +257,7 @@
             return False
         if job.live.get(attempt.task) is attempt:
             del job.live[attempt.task]
+            job.idle_since = now
         self.quota.of(job.spec.team).add(job.spec, -1)
         if not machine.attempts:
             machine.idle_since = now
--- a/pepperlatch/policy/model.py
+++ b/pepperlatch/policy/model.py
@@ -65,6 +65,7 @@
     pause_s: float = 0.0
     not_before: float = 0.0
     prefer: dict[int, "Machine"] = field(default_factory=dict)  # where a drain wants a task to go
+    idle_since: float = -math.inf  # it has run nothing since then: its last task ended, or it became known
     reason: Reason = PLACING
     reason_since: float = 0.0
     preempt_after: float = float("-inf")  # it may have others stopped again from then on
@@ -78,6 +79,7 @@
     def __post_init__(self) -> None:
         if self.rank < 0:
             self.rank = RANK[self.spec.priority]
+        self.idle_since = max(self.idle_since, self.since)
         if self.due_at is None and self.spec.deadline_s:
             self.due_at = self.since + self.spec.deadline_s
 
--- a/pepperlatch/policy/planner.py
+++ b/pepperlatch/policy/planner.py
@@ -3,17 +3,19 @@
 import heapq
 import logging
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
 
 from pepperlatch.constants import core as c
-from pepperlatch.policy import draining, fleet, gangs, placement, quota, reasons, shortage, supply
+from pepperlatch.policy import draining, fleet, gangs, placement, quota, reasons, shortage, supply, turns
 from pepperlatch.policy.cluster import Cluster
 from pepperlatch.policy.draining import lost_work
 from pepperlatch.policy.fleet import Bin, Need, Offer
 from pepperlatch.policy.model import EPS, Attempt, Job, Machine, Phase, Status, allowed_on, fits_type
 from pepperlatch.policy.placement import Candidates
+from pepperlatch.policy.quota import Use
 from pepperlatch.policy.reasons import Reason, Why
 from pepperlatch.policy.supply import Spare
 from pepperlatch.policy.tuning import Tuning
@@ -43,6 +45,8 @@
     spare: Spare = field(default_factory=Spare)
     inside: set[str] = field(default_factory=set)  # jobs within their team's guarantee
     limits: dict[str, Reason] = field(default_factory=dict)  # teams that were at their limit in this round
+    ahead: list[Job] = field(default_factory=list)  # jobs whose turn it is whatever the order, one a team at the most
+    kept: dict[str, Use] = field(default_factory=dict)  # of teams' limits, for gangs that waited long, in this round
 
     # --- placing ----------------------------------------------------------------------------------
 
@@ -77,7 +81,8 @@
             theirs = sorted((order[place] for place in places), key=lambda j: due[j.spec.id])
             for place, job in zip(places, theirs, strict=True):
                 order[place] = job
-        return order
+        self.ahead = turns.ahead(order, now)
+        return self.ahead + [job for job in order if job not in self.ahead] if self.ahead else order
 
     def place_all(self, now: float) -> None:
         """Start what can start; `needs` keeps what found no room."""
@@ -92,9 +97,10 @@
         )
         self.needs = []
         self.limits = {}
+        self.kept = {}
         rebuilt = Reason(Why.REBUILDING, machines=len(cluster.unaccounted), among=len(cluster.machines))
         jobs = self.ordered(now)
-        machines = placement.roomy(machines, (j.spec for j in jobs))
+        every, machines = machines, placement.roomy(machines, (j.spec for j in jobs))
         for job in jobs:
             if rebuilding and job.old:
                 cluster.explain(job, rebuilt, now)
@@ -102,10 +108,22 @@
                 cluster.explain(job, self._pausing(job), now)
             elif job.spec.kind is Kind.GANG:
                 self._place_gang(job, machines, now)
+                if job.waiting and job in self.ahead and turns.holds(job, now):
+                    held = self._hold_back(job, every)
+                    machines = [m for m in machines if m not in held]
             else:
                 self._place_tasks(job, machines, now)
         cluster.dirty = False
 
+    def _hold_back(self, job: Job, machines: list[Machine]) -> set[Machine]:
+        """Those behind it leave it what comes free of its team's limit, and then of these machines."""
+        fits = self._room(job.spec) >= job.spec.tasks
+        self.kept.setdefault(job.spec.team, Use()).add(job.spec, job.spec.tasks)
+        return turns.held_for(job, machines, self.cluster.params.zones) if fits else set()
+
+    def _room(self, spec: JobSpec) -> int:
+        return self.cluster.quota.room(spec, self.kept.get(spec.team))
+
     def _pausing(self, job: Job) -> Reason:
         """It failed on several machines, or a worker had no room for it after all."""
         if job.pause_s > 0:
@@ -114,7 +132,7 @@
 
     def _place_tasks(self, job: Job, machines: list[Machine], now: float) -> None:
         cluster = self.cluster
-        room = cluster.quota.room(job.spec)
+        room = self._room(job.spec)
         if room > 0:
             candidates = self._candidates(job, machines, now)
             while job.waiting and room > 0:
@@ -143,10 +161,24 @@
         ):
             cheapest = self._cheapest(spec)
             machines = [m for m in machines if not placement.pinned(m, cheapest)]
-        if self._thrifty(job, now):
-            machines = [m for m in machines if m.spot or m.kept()]
-        entitled = self._entitled(job)
-        return Candidates(job, machines, zones, lambda m: entitled or self.spare.allows(spec, m), self._start_s(spec))
+        return Candidates(job, machines, zones, self._free_for(job, now), self._start_s(spec))
+
+    def _free_for(self, job: Job, now: float) -> Callable[[Machine], bool]:
+        """Whether the job may use a machine's room: some is kept for replicas, and some is too dear for patient work.
+
+        What has waited long and runs nothing begins all the same: one task, or all of a gang.
+        """
+        spec, entitled, thrifty = job.spec, self._entitled(job), self._thrifty(job, now)
+        waited_long = not job.live and now - job.idle_since > c.KEPT_ROOM_MOST_S
+
+        def free(machine: Machine) -> bool:
+            if waited_long and (spec.kind is Kind.GANG or not job.live):
+                return True
+            if thrifty and not (machine.spot or machine.kept()):
+                return False
+            return entitled or self.spare.allows(spec, machine)
+
+        return free
 
     def _entitled(self, job: Job) -> bool:
         """Guaranteed work that only ordinary machines may run need not wait for replicas that nobody has asked for.
@@ -189,7 +221,7 @@
         if job.live:
             cluster.explain(job, Reason(Why.LEAVING, tasks=len(job.live)), now)
             return
-        if cluster.quota.room(spec) < spec.tasks:
+        if self._room(spec) < spec.tasks:
             cluster.explain(job, self._limited(spec), now)
             return
         candidates = self._candidates(job, machines, now)
--- a/pepperlatch/policy/quota.py
+++ b/pepperlatch/policy/quota.py
@@ -34,17 +34,17 @@
     def of(self, team: str) -> Use:
         return self.used.setdefault(team, Use())
 
-    def room(self, spec: JobSpec) -> int:
-        """How many more tasks like this the team's limit allows now."""
+    def room(self, spec: JobSpec, kept: Use | None = None) -> int:
+        """How many more tasks like this the team's limit allows now; `kept` is left for another job of the team."""
         team = self.teams.get(spec.team)
         if team is None:
             return 0
-        used, hidden = self.of(spec.team), self.hidden.get(spec.team, Use())
+        used, hidden, kept = self.of(spec.team), self.hidden.get(spec.team, Use()), kept or Use()
         rooms = [
             int((most - now + EPS) // each)
             for each, most, now in (
-                (spec.cpus, team.cpus_max, used.cpus + hidden.cpus),
-                (spec.gpus, team.gpus_max, used.gpus + hidden.gpus),
+                (spec.cpus, team.cpus_max, used.cpus + hidden.cpus + kept.cpus),
+                (spec.gpus, team.gpus_max, used.gpus + hidden.gpus + kept.gpus),
             )
             if each > 0 and most > 0
         ]
