A round of planning ends in time, and what is left is planned in the next

Cause: a round looked at all that waits, whatever that took. A round now does what was measured to take half a second; the next goes on from what is known then. Of several gangs whose turn it is one holds machines back, so that a round looks at all machines once for it.

--- a/pepperlatch/controller/leader.py
+++ b/pepperlatch/controller/leader.py
@@ -24,6 +24,7 @@
 from pepperlatch.policy.delegation import DelegationAnswer, DelegationStatement
 from pepperlatch.policy.images import ImageMemory
 from pepperlatch.policy.model import Machine, Status
+from pepperlatch.policy.pace import RoundPace
 from pepperlatch.policy.planner import Planner
 from pepperlatch.policy.tuning import Tuning
 from pepperlatch.protocol import wire
@@ -84,6 +85,7 @@
         self._heartbeats: list[_Waiting] = []
         self._rented_at = 0.0
         self._plan_after = 0.0
+        self._pace = RoundPace()
         self._housekeep_at = 0.0
 
     # --- life -------------------------------------------------------------------------------------
@@ -294,7 +296,7 @@
             self._housekeep_at = now
             self.cluster.expire(now)
             self._health.look(now, sure)
-        if self.cluster.dirty and may and now >= self._plan_after:
+        if (self.cluster.dirty or self.planner.unfinished) and may and now >= self._plan_after:
             self._plan(now, sure)
         self._answer_heartbeats(now, sure, may)
         if may:
@@ -309,7 +311,10 @@
         By a longer one still if nothing changes: only moments can be reached then, pauses' ends and the like.
         """
         self.planner.notices(now)
+        self.planner.work_most = self._pace.most()
+        began = self.clock()
         self.planner.place_all(now)
+        self._pace.took(self.planner.work, self.clock() - began)
         self.planner.preempt(now)
         if sure and now - self._rented_at >= c.RENT_GAP_S:
             self._rented_at = now
--- a/pepperlatch/policy/planner.py
+++ b/pepperlatch/policy/planner.py
@@ -2,9 +2,10 @@
 
 import heapq
 import logging
+import math
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
@@ -14,6 +15,7 @@
 from pepperlatch.policy.draining import lost_work
 from pepperlatch.policy.fleet import Bin, Need, Offer
 from pepperlatch.policy.model import EPS, Attempt, Job, Machine, Phase, Status, allowed_on, fits_type
+from pepperlatch.policy.pace import PLACEMENT_WORK
 from pepperlatch.policy.placement import Candidates
 from pepperlatch.policy.quota import Use
 from pepperlatch.policy.reasons import Reason, Why
@@ -44,6 +46,11 @@
     needs: list[Need] = field(default_factory=list)
     spare: Spare = field(default_factory=Spare)
     inside: set[str] = field(default_factory=set)  # jobs within their team's guarantee
+    work_most: float = math.inf  # how much a round may do before the rest is left to the next, see `pace`
+    work: float = 0.0  # how much this one has done
+    unfinished: bool = False  # the last round did enough before it came to all that waits: its pass goes on
+    passed: set[str] = field(default_factory=set)  # jobs that earlier rounds of an unfinished pass have dealt with
+    changed: bool = False  # something has changed since an unfinished pass began
     limits: dict[str, Reason] = field(default_factory=dict)  # teams that were at their limit in this round
     ahead: list[Job] = field(default_factory=list)  # jobs whose turn it is whatever the order, one a team at the most
     kept: dict[str, Use] = field(default_factory=dict)  # of teams' limits, for gangs that waited long, in this round
@@ -95,12 +102,19 @@
         self.spare.count(
             homes, [j.spec for j in cluster.jobs.values() if not j.over], self.tuning["spare_jobs"], self._start_s
         )
-        self.needs = []
         self.limits = {}
         self.kept = {}
+        self.work = 0.0
         rebuilt = Reason(Why.REBUILDING, machines=len(cluster.unaccounted), among=len(cluster.machines))
-        jobs = self.ordered(now)
-        every, machines = machines, placement.roomy(machines, (j.spec for j in jobs))
+        order = self.ordered(now)
+        every, machines = machines, placement.roomy(machines, (j.spec for j in order))
+        before, self.needs = self.needs, []
+        self.changed = self.unfinished and (self.changed or cluster.dirty)
+        jobs = [job for job in order if job.spec.id not in self.passed]
+        for job in self.ahead:
+            if job.spec.id in self.passed:
+                machines = self._hold_back(job, machines, every, now)
+        dealt_with = 0
         for job in jobs:
             if rebuilding and job.old:
                 cluster.explain(job, rebuilt, now)
@@ -108,18 +122,42 @@
                 cluster.explain(job, self._pausing(job), now)
             elif job.spec.kind is Kind.GANG:
                 self._place_gang(job, machines, now)
-                if job.waiting and job in self.ahead and turns.holds(job, now):
-                    held = self._hold_back(job, every)
-                    machines = [m for m in machines if m not in held]
-            else:
-                self._place_tasks(job, machines, now)
-        cluster.dirty = False
-
-    def _hold_back(self, job: Job, machines: list[Machine]) -> set[Machine]:
-        """Those behind it leave it what comes free of its team's limit, and then of these machines."""
+                if job in self.ahead:
+                    machines = self._hold_back(job, machines, every, now)
+            elif not self._place_tasks(job, machines, now):
+                break
+            dealt_with += 1
+            if self.work >= self.work_most:
+                break
+        self._end_round(order, jobs[:dealt_with], dealt_with == len(jobs), before)
+
+    def _end_round(self, order: list[Job], dealt_with: list[Job], whole: bool, before: list[Need]) -> None:
+        """What is left of a pass is dealt with in the next round; until then it needs what it needed before."""
+        if self.passed or not whole:
+            now_known = {need.job.spec.id: need for need in self.needs}
+            gone = {job.spec.id for job in dealt_with}
+            earlier = {need.job.spec.id: need for need in before if need.job.spec.id not in gone}
+            needs = (now_known.get(job.spec.id) or _still(earlier.get(job.spec.id)) for job in order)
+            self.needs = [need for need in needs if need is not None]
+        self.passed = set() if whole else self.passed | {job.spec.id for job in dealt_with}
+        self.cluster.dirty = whole and self.changed
+        self.unfinished = not whole
+
+    def _hold_back(self, job: Job, machines: list[Machine], every: list[Machine], now: float) -> list[Machine]:
+        """The machines for those behind a gang whose turn it is: they leave it what comes free of its team's limit.
+
+        Once it fits into that, also what comes free of the machines that will hold it first; of several gangs, of one.
+        """
+        if not job.waiting or not turns.holds(job, now):
+            return machines
         fits = self._room(job.spec) >= job.spec.tasks
         self.kept.setdefault(job.spec.team, Use()).add(job.spec, job.spec.tasks)
-        return turns.held_for(job, machines, self.cluster.params.zones) if fits else set()
+        first = next(other for other in self.ahead if turns.holds(other, now))
+        if not fits or job is not first:
+            return machines
+        self.work += len(every)
+        held = turns.held_for(job, every, self.cluster.params.zones)
+        return [machine for machine in machines if machine not in held]
 
     def _room(self, spec: JobSpec) -> int:
         return self.cluster.quota.room(spec, self.kept.get(spec.team))
@@ -130,26 +168,32 @@
             return Reason(Why.PAUSING, machines=len(job.failed_on), until=job.not_before)
         return Reason(Why.REFUSED, until=job.not_before)
 
-    def _place_tasks(self, job: Job, machines: list[Machine], now: float) -> None:
+    def _place_tasks(self, job: Job, machines: list[Machine], now: float) -> bool:
+        """Whether the job was dealt with; not if the round has done enough while it still finds places."""
         cluster = self.cluster
         room = self._room(job.spec)
         if room > 0:
             candidates = self._candidates(job, machines, now)
             while job.waiting and room > 0:
+                if self.work >= self.work_most:
+                    return False
                 machine = self._preferred(job, candidates, machines) or candidates.best()
                 if machine is None:
                     break
                 cluster.place(job, job.waiting.popleft(), machine, now)
                 candidates.took(machine)
                 self.spare.took(machine)
+                self.work += PLACEMENT_WORK
                 room -= 1
         if job.waiting:
             self._unplaced(job, min(room, len(job.waiting)), now)
         else:
             cluster.explain(job, reasons.STARTING, now)
+        return True
 
     def _candidates(self, job: Job, machines: list[Machine], now: float) -> Candidates:
         spec, zones = job.spec, self.cluster.params.zones
+        self.work += len(machines)
         if spec.one_zone and not job.live:
             best = placement.choose_zone(job, machines, zones)
             zones = [best] if best else []
@@ -229,6 +273,7 @@
         placed: list[Attempt] = []
         while job.waiting and (machine := candidates.best()) is not None:
             placed.append(cluster.place(job, job.waiting.popleft(), machine, now, number))
+            self.work += PLACEMENT_WORK
             candidates.took(machine)
             self.spare.took(machine)
         if job.waiting:
@@ -568,6 +613,13 @@
         return began + attempt.job.spec.estimate_s <= at
 
 
+def _still(need: Need | None) -> Need | None:
+    """What is left of a need of an earlier round; tasks may have been placed or ended since."""
+    if need is None or need.job.over or not need.job.waiting:
+        return None
+    return replace(need, count=min(need.count, len(need.job.waiting)))
+
+
 def _broken(machine: Machine) -> bool:
     """It takes no tasks any more, whatever waits."""
     return machine.quarantined or machine.notice_at is not None
