--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -16,6 +16,7 @@
 from pepperlatch.policy import reasons
 from pepperlatch.policy.boots import Boots
 from pepperlatch.policy.cancellations import CancelledOn
+from pepperlatch.policy.cancelled_tasks import CancelledSince, CancelledTasks
 from pepperlatch.policy.delegation import DelegationAnswer, Delegations, DelegationStatement
 from pepperlatch.policy.events import Listener, Nobody
 from pepperlatch.policy.images import ImageMemory
@@ -31,7 +32,6 @@
 SILENT, SILENT_CANCELLED = "silent", "silent, perhaps with a cancelled task"
 BEGAN = ""  # in the answer of a node that may stand in: its process's age, among ages under machines' names
 SpecOf = Callable[[str], JobSpec | None]
-CancelledSince = Callable[[str], float]  # no user was told before then that the job is cancelled; infinite: it is not
 
 
 def _fields(attempt: Attempt) -> dict[str, Any]:
@@ -39,15 +39,6 @@
     return {"job": attempt.job.spec.id, "task": attempt.task, "machine": attempt.machine.name}
 
 
-@dataclass(slots=True)
-class Departed:
-    """A job that was cancelled while some of its tasks may still be on machines that are not accounted for."""
-
-    spec: JobSpec
-    unseen: int  # tasks
-    since: float  # it was cancelled no earlier
-
-
 @dataclass(slots=True)
 class StandIn:
     """What the leader knows of a controller that may keep leases alive in its place."""
@@ -76,7 +67,7 @@
         self.strays: dict[str, dict[Key, TaskReport]] = {}
         self.quota = Quota({team.name: team for team in params.teams})
         self.unaccounted: set[str] = set()
-        self.departed: dict[str, Departed] = {}
+        self.cancelled = CancelledTasks(lambda job_id: self._cancelled_since(job_id), params.workers.cancel_s)
         self.touched: set[Machine] = set()
         self.unsaved: set[str] = set()
         self.to_record: set[Machine] = set()
@@ -127,17 +118,7 @@
     def _stop_over(self, attempt: Attempt, now: float, cancelled: bool) -> None:
         self.stop(attempt, 0.0, "the job is over")
         if cancelled and (attempt.name, attempt.number) in attempt.machine.attempts:
-            self._may_hold(attempt.machine, attempt.name, attempt.job.spec.id, now)
-
-    def _may_hold(self, machine: Machine, task: str, job_id: str, now: float) -> None:
-        """The machine may hold this task of a cancelled job: counted from the cancellation, whenever that shows."""
-        since = min(now, self._cancelled_since(job_id))
-        if since < machine.cancelled_since:
-            machine.cancelled_since = since
-            log.info(
-                "%s may hold %s of a cancelled job, counted from %.1f s ago, last heard of %.1f s ago",
-                machine.name, task, now - since, now - machine.seen_at, extra={"job": job_id, "machine": machine.name},
-            )  # fmt: skip
+            self.cancelled.may_hold(attempt.machine, attempt.name, attempt.job.spec.id, now)
 
     def _stray_cancelled(self, job_id: str, now: float) -> None:
         """A task that one machine shows though another runs it has to go with its job as well."""
@@ -145,12 +126,12 @@
             machine = self.machines.get(name)
             for task, _ in tasks:
                 if machine is not None and task.rpartition("/")[0] == job_id:
-                    self._may_hold(machine, task, job_id, now)
+                    self.cancelled.may_hold(machine, task, job_id, now)
 
     def _may_hold_stray(self, machine: Machine, task: str, now: float) -> None:
         job_id = task.rpartition("/")[0]
         if math.isfinite(self._cancelled_since(job_id)):
-            self._may_hold(machine, task, job_id, now)
+            self.cancelled.may_hold(machine, task, job_id, now)
 
     def _holds_cancelled(self, machine: Machine) -> bool:
         """Whether a task of a job that is over may be there, as far as reports have shown."""
@@ -163,15 +144,11 @@
     def depart(self, spec: JobSpec, unseen: int, now: float) -> None:
         """The job was cancelled; so many of its tasks may yet be on machines that nobody can ask."""
         if unseen > 0 and self.rebuilding():
-            self.departed[spec.id] = Departed(spec, unseen, min(now, self._cancelled_since(spec.id)))
+            self.cancelled.depart(spec, unseen, now)
 
     def departed_since(self, now: float) -> float:
-        """Since when a job may have been cancelled that may have tasks on unaccounted machines; infinite: none was.
-
-        What was cancelled longer ago than `cancel_s` is not looked for.
-        """
-        lately = (gone.since for gone in self.departed.values() if now - gone.since <= self.params.workers.cancel_s)
-        return min(lately, default=math.inf) if self.rebuilding() else math.inf
+        """Since when a job may have been cancelled that may have tasks on unaccounted machines; infinite: none was."""
+        return self.cancelled.departed_since(now) if self.rebuilding() else math.inf
 
     def cancelled_since(self, machine: Machine, departed_since: float) -> float:
         """Since when the machine may hold a task of a cancelled job; infinite if it holds none.
@@ -346,12 +323,7 @@
         self._account(machine, report, now)
         self._tasks(machine, report, now, beat)
         if math.isfinite(machine.cancelled_since) and not self._holds_cancelled(machine):
-            log.info(
-                "%s holds no cancelled task any more, %.1f s after", machine.name, now - machine.cancelled_since,
-                extra={"machine": machine.name},
-            )  # fmt: skip
-            machine.cancelled_since = math.inf
-            machine.kept_because = ""
+            self.cancelled.holds_none(machine, now)
         return machine
 
     def _noticed(self, machine: Machine, at: float) -> None:
@@ -508,8 +480,8 @@
             if known.number >= task.attempt:
                 return None
             self.stop(known, 0.0, "started anew elsewhere since")
-        elif job.spec.id in self.departed:
-            self.departed[job.spec.id].unseen = max(0, self.departed[job.spec.id].unseen - 1)
+        else:
+            self.cancelled.seen(job.spec.id)
         attempt = Attempt(job, parts[1], task.attempt, machine, now, Phase.THERE)
         self._register(attempt)
         if parts[1] in job.waiting:
@@ -804,11 +776,11 @@
                 if job.old and not job.over:
                     unseen = job.spec.tasks - len(job.done) - len(job.live)
                     hidden.setdefault(job.spec.team, Use()).add(job.spec, unseen)
-            for gone in self.departed.values():
+            for gone in self.cancelled.departed.values():
                 hidden.setdefault(gone.spec.team, Use()).add(gone.spec, gone.unseen)
             self._cap(hidden)
         else:
-            self.departed.clear()
+            self.cancelled.departed.clear()
         for tasks in self.strays.values():  # none that has exited is among them
             for name, _ in tasks:
                 if (spec := self._spec(name)) is not None:
