--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -122,3 +122,15 @@
     for _ in range(40):
         pace.took(10.0, 5.0)
     assert pace.most() == c.PLAN_WORK_LEAST
+
+
+@pytest.mark.parametrize("shape", ["sweep", "group"])
+def test_every_round_places_something_though_looking_at_the_machines_is_all_that_it_may_do(shape: str) -> None:
+    """Found on reading: with more machines than a round may look at, an array's round ended before its first placement.
+
+    Each round looked at all machines, placed nothing, and the next did the same: the job, and all behind it, waited
+    for ever. The least that a round may do is 4,000 machines, which is a size that is run.
+    """
+    planner = planner_of([job(1, pieces=3, cores=1.0, shape=shape), job(2, pieces=2, cores=1.0)], 10, 5.0)
+    assert rounds_of(planner, 20) <= 6
+    assert placed(planner) == {"run-000001": 3, "run-000002": 2}
