Every round of planning places something, however little it may do

Symptom: with as many machines as a round may look at (4,000 at the least) and a pace at its floor, an array's round ended before its first placement, the next one did the same, and nothing was placed any more. Cause: the budget was looked at before a placement and not after it.

--- a/pepperlatch/policy/planner.py
+++ b/pepperlatch/policy/planner.py
@@ -175,8 +175,6 @@
         if room > 0:
             candidates = self._candidates(job, machines, now)
             while job.waiting and room > 0:
-                if self.work >= self.work_most:
-                    return False
                 machine = self._preferred(job, candidates, machines) or candidates.best()
                 if machine is None:
                     break
@@ -185,6 +183,8 @@
                 self.spare.took(machine)
                 self.work += PLACEMENT_WORK
                 room -= 1
+                if job.waiting and room > 0 and self.work >= self.work_most:
+                    return False
         if job.waiting:
             self._unplaced(job, min(room, len(job.waiting)), now)
         else:
