--- a/pepperlatch/controller/health.py
+++ b/pepperlatch/controller/health.py
@@ -13,10 +13,11 @@
 from pepperlatch.constants import zones as z
 from pepperlatch.controller.duty import Duty
 from pepperlatch.controller.peers import Peers
-from pepperlatch.policy.cancellations import return_after_s
-from pepperlatch.policy.cluster import OWES, SILENT
+from pepperlatch.policy.cancellations import Decision, Seen, decide
+from pepperlatch.policy.cluster import SILENT, SILENT_CANCELLED
 from pepperlatch.policy.model import Machine, Status
-from pepperlatch.policy.zones import Seen, Zones
+from pepperlatch.policy.zones import Seen as ZoneSeen
+from pepperlatch.policy.zones import Zones
 from pepperlatch.protocol.http.client import Lost, NotSent
 from pepperlatch.protocol.wire import Report
 from pepperlatch.protocol.workers import WorkerClient
@@ -110,9 +111,9 @@
                 cluster.release(machine, "never came up")
             if machine.unheard >= c.UNHEARD_MOST or any(not a.wanted for a in machine.attempts.values()):
                 cluster.touched.add(machine)
-        self._log_kept(quiet, kept_zones, sure, now)
         if sure:
             self._give_up([machine for machine in quiet if machine.zone not in kept_zones], many, now)
+        self._return_cancelled(quiet, kept_zones, sure, now)
         if sure and not cluster.rebuilding():
             for machine in planner.idle(now):
                 cluster.release(machine, machine.draining or ("quarantined" if machine.quarantined else "idle"))
@@ -124,15 +125,12 @@
         return now - machine.born > self._duty.cluster.boots.patience_s(machine.type)
 
     def _give_up(self, quiet: list[Machine], many: bool, now: float) -> None:
-        """Of those that were not heard of for long; whoever was heard of is neither given up nor may have gone on."""
-        cluster, planner = self._duty.cluster, self._duty.planner
+        """Of those that were not heard of for long."""
+        planner = self._duty.planner
         portion = Portion(planner.zones, bool(planner.needs))
-        departed_since = cluster.departed_since(now)
         for machine in quiet:
             if self._given_up(machine, many, now) and portion.allows(machine.zone):
-                cluster.release(machine, SILENT)
-            elif self._may_go_on(machine, departed_since, now):
-                cluster.release(machine, OWES)
+                self._duty.cluster.release(machine, SILENT)
 
     def _look_at_zones(self, quiet: list[Machine], now: float) -> None:
         cluster, settings = self._duty.cluster, self._duty.settings
@@ -143,7 +141,7 @@
             heard_at = max(cluster.peer_heard.get(peer.node, cluster.started), cluster.started)
             answers[peer.zone] = answers.get(peer.zone, False) or now - heard_at <= z.ANSWER_S
         for zone in settings.params.zones:
-            self._duty.planner.look_at_zone(zone, Seen(up[zone], lost[zone], answers.get(zone)), now)
+            self._duty.planner.look_at_zone(zone, ZoneSeen(up[zone], lost[zone], answers.get(zone)), now)
 
     def _worth_asking(self, silent: list[Machine]) -> list[Machine]:
         """All, but a few only of a zone that is cut off: those that were asked least."""
@@ -187,40 +185,37 @@
         asked = machine.probes >= (1 if fenced else c.SILENT_PROBES)
         return not many and (asked or (machine.probes_unheard > 0 and self._duty.cluster.lease_over(machine, now)))
 
-    def _may_go_on(self, machine: Machine, departed_since: float, now: float) -> bool:
-        """A machine that hangs may go on with a cancelled task: it is returned while that is in time.
+    def _return_cancelled(self, quiet: list[Machine], kept_zones: set[str], sure: bool, now: float) -> None:
+        """Silent machines that may hold a cancelled task are returned in time, however many are silent.
 
-        The end of its lease proves the task gone, but a machine that hangs ends it only once it goes on. However many
-        are silent, but not in a zone that is kept, where living machines would be returned for it. After a
-        takeover a cancelled task may be on any machine that was not heard of.
+        Also those whose return was decided for another reason, and may not be sent while the lease is unsure.
         """
-        cluster, params = self._duty.cluster, self._duty.settings.params.workers
-        since = cluster.cancelled_since(machine, departed_since)
-        return (
-            now - since > return_after_s(params)
-            and now - max(machine.seen_at, cluster.started) > c.SILENT_REPORTS * params.report_s
-        )
-
-    def _log_kept(self, quiet: list[Machine], kept_zones: set[str], sure: bool, now: float) -> None:
-        """Say why a silent machine that may hold a cancelled task is not returned, once and when the reason changes."""
-        cluster = self._duty.cluster
+        cluster, workers = self._duty.cluster, self._duty.settings.params.workers
+        seen = Seen(cluster.started, sure, self._heard_at(), kept_zones)
         departed_since = cluster.departed_since(now)
-        for machine in quiet:
+        leaving = [cluster.machines[name] for name in cluster.to_release if name in cluster.machines]
+        for machine in [*quiet, *leaving]:
             since = cluster.cancelled_since(machine, departed_since)
-            if math.isinf(since):
-                continue
-            if machine.zone in kept_zones:
-                because = "its zone seems cut off"
-            elif not sure:
-                because = "this leader's lease is not sure"
-            else:
-                because = "it may be heard of again"
-            if because != machine.kept_because:
-                machine.kept_because = because
-                log.info(
-                    "%s may hold a task cancelled %.1f s ago, is silent for %.1f s and is not returned yet: %s",
-                    machine.name, now - since, now - machine.seen_at, because, extra={"machine": machine.name},
-                )  # fmt: skip
+            decision = decide(machine, since, seen, workers, now)
+            self._log_kept(machine, since, decision, now)
+            if decision is Decision.RETURN:
+                machine.return_needs_lease = False
+                cluster.release(machine, SILENT_CANCELLED)
+
+    def _heard_at(self) -> float:
+        """When a machine or another controller was last heard of."""
+        machines = (machine.reached_at for machine in self._duty.cluster.machines.values())
+        return max([*machines, *self._duty.cluster.peer_heard.values()], default=-math.inf)
+
+    def _log_kept(self, machine: Machine, since: float, decision: Decision, now: float) -> None:
+        """Say what is decided of a machine that may hold a cancelled task: once, and when that changes."""
+        if decision is Decision.NOTHING or decision.value == machine.kept_because:
+            return
+        machine.kept_because = decision.value
+        log.info(
+            "%s may hold a task cancelled %.1f s ago, is silent for %.1f s: %s",
+            machine.name, now - since, now - machine.seen_at, decision.value, extra={"machine": machine.name},
+        )  # fmt: skip
 
     async def _probe(self, machine: Machine) -> None:
         report: Report | None = None
--- a/pepperlatch/controller/leader.py
+++ b/pepperlatch/controller/leader.py
@@ -100,6 +100,7 @@
                 self._rentals.types_loop,
                 self._rentals.list_loop,
                 self._rentals.release_loop,
+                self._rentals.release_cancelled_loop,
             ):
                 nursery.start_soon(task)
             while not self.term.over:
--- a/pepperlatch/controller/rentals.py
+++ b/pepperlatch/controller/rentals.py
@@ -174,19 +174,35 @@
                 self._duty.cluster.release(machine, "not listed any more")
 
     async def release_loop(self) -> None:
+        """Return machines while the lease is sure; a request without an answer holds up those behind it."""
         while not self._duty.term.over:
             await trio.sleep(c.TICK_S / 5)
             names = sorted(self._duty.cluster.to_release)[: c.RELEASE_MOST]
-            if not names or not self._duty.term.sure(self._duty.clock()):
-                continue
-            self._duty.cluster.releasing.update(names)
-            try:
-                await self._cloud.release(names)
-                self._duty.owner.post(lambda x=names: self._released(x))  # type: ignore[misc]
-                self._duty.cluster.to_release.difference_update(names)
-            except CloudTrouble as error:
-                log.info("release: %s", error)
-                await trio.sleep(c.CLOUD_RETRY_S)
+            if names and self._duty.term.sure(self._duty.clock()):
+                await self._release(names)
+
+    async def release_cancelled_loop(self) -> None:
+        """Return machines that may hold a cancelled task, sure or not, behind nobody: their time is short.
+
+        Why that needs no lease: "Machines that hang" in `docs/safety.md`.
+        """
+        while not self._duty.term.over:
+            await trio.sleep(c.TICK_S / 5)
+            machines = self._duty.cluster.machines
+            names = [name for name in self._duty.cluster.to_release if name in machines]
+            urgent = sorted(name for name in names if not machines[name].return_needs_lease)[: c.RELEASE_MOST]
+            if urgent:
+                await self._release(urgent)
+
+    async def _release(self, names: list[str]) -> None:
+        self._duty.cluster.releasing.update(names)
+        try:
+            await self._cloud.release(names)
+            self._duty.owner.post(lambda: self._released(names))
+            self._duty.cluster.to_release.difference_update(names)
+        except CloudTrouble as error:
+            log.info("release: %s", error)
+            await trio.sleep(c.CLOUD_RETRY_S)
 
     def _released(self, names: list[str]) -> None:
         now = self._duty.clock()
--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -26,7 +26,7 @@
 
 log = logging.getLogger(__name__)
 Key = tuple[str, int]
-SILENT, OWES = "silent", "silent, perhaps with a cancelled task"
+SILENT, SILENT_CANCELLED = "silent", "silent, perhaps with a cancelled task"
 BEGAN = ""  # in the answer of a node that may stand in: its process's age, among ages under machines' names
 SpecOf = Callable[[str], JobSpec | None]
 CancelledSince = Callable[[str], float]  # no user was told before then that the job is cancelled; infinite: it is not
@@ -326,7 +326,7 @@
             self.dirty = True
         if machine.leaves_silent and machine.name not in self.releasing:
             log.info("%s is heard of again", machine.name)
-            machine.status, machine.leaves_silent = Status.UP, False
+            machine.status, machine.leaves_silent, machine.return_needs_lease = Status.UP, False, True
             self.to_release.discard(machine.name)
         self._account(machine, report, now)
         self._tasks(machine, report, now, beat)
@@ -588,7 +588,7 @@
         if machine.status is not Status.LEAVING:
             log.info("return %s: %s", machine.name, why, extra={"machine": machine.name})
             machine.status = Status.LEAVING
-            machine.leaves_silent = why in (SILENT, OWES)
+            machine.leaves_silent = why in (SILENT, SILENT_CANCELLED)
             machine.leaves_for = why
             self.to_record.discard(machine)
             self.to_release.add(machine.name)
--- a/pepperlatch/policy/model.py
+++ b/pepperlatch/policy/model.py
@@ -125,9 +125,8 @@
     reached_at: float = -1.0  # last report that came with a way back: a beat, or an answer to a question of ours
     beat_at: float = -1.0  # last report that waited for an answer of ours; at first when the leader took over
     cancelled_since: float = math.inf  # a job that may have a task here was cancelled no earlier; infinite: none was
-    kept_because: str = (
-        ""  # why it is not returned though it may hold a cancelled task; the last reason that was logged
-    )
+    kept_because: str = ""  # what was decided last if it may hold a cancelled task, as logged
+    return_needs_lease: bool = True  # that of the leader's key; not if it may hold a cancelled task and time is short
     unexpected: bool = False  # met by a report; neither recorded nor rented
     fenced: bool = False  # a report has shown our token: no earlier leader commands or answers it any more
     began_by: float = -1.0  # its known session had begun by then, and its worker had our token if it has it
--- a/tests/meetings/test_hung_machines.py
+++ b/tests/meetings/test_hung_machines.py
@@ -90,6 +90,44 @@
         await tell_late(world, worker, said)
 
 
+@dataclass
+class AllControllersAway:
+    """They end after the cancellation and are back, as new processes, while little of its time is left."""
+
+    stamped: bool  # whether the record says when the job was cancelled; those of earlier versions do not
+
+    async def tell(self, world: World) -> None:
+        for zone in "abc":
+            for _ in range(3):
+                world.cloud.create(zone)
+        world.cloud.capacity.clear()
+        await trio.sleep(7.0)
+        runs = job(1, pieces=HUNG, cores=8.0, expected_s=400.0, pull_gb=0.0)
+        await accepted(world, runs)
+        await world.until(lambda: world.running(runs) == HUNG, 20)
+        hung = world.hosts(runs)
+        for worker in [*hung, *[worker for worker in world.workers if not worker.tasks][:2]]:
+            worker.hung = True
+        await trio.sleep(0.5)
+        assert (await world.ask(0, "POST", "/work/run-000001/cancel"))[0] == 200
+        await trio.sleep(1.0)
+        for index in list(world.nodes):
+            world.kill(index)
+        if not self.stamped:
+            value, version, lease = world.state.keys["j/job/run-000001"]
+            value = {name: field for name, field in value.items() if name != "ended"}
+            world.state.keys["j/job/run-000001"] = (value, version, lease)
+        await trio.sleep(18.0)
+        for index in range(world.count):
+            world.start(index)
+        await trio.sleep(CANCEL_S)
+
+
+@pytest.mark.parametrize("stamped", [True, False])
+def test_controllers_that_began_after_the_cancellation_return_such_machines_in_time(stamped: bool) -> None:
+    story(AllControllersAway(stamped).tell)
+
+
 @pytest.mark.parametrize("count", [3, 7])
 @pytest.mark.parametrize("others_hang", [False, True])
 @pytest.mark.parametrize("late_report_at", [-1.0, 4.0, 9.0])
--- /dev/null
+++ b/tests/meetings/test_returns_of_hung_machines.py
@@ -0,0 +1,148 @@
+"""When a silent machine that may hold a cancelled task is returned, from which moment that is counted, and by whom."""
+
+import math
+from typing import Any
+
+import msgspec
+import pytest
+
+from pepperlatch.constants import core as c
+from pepperlatch.controller import store
+from pepperlatch.policy.cancellations import Decision, Seen, decide, return_after_s
+from pepperlatch.policy.cluster import Cluster
+from pepperlatch.policy.model import Machine
+from pepperlatch.protocol import wire
+from tests.cuts.test_sessions import TOKEN, cluster_of, report
+from tests.fakes import CANCEL_S, REPORT_S, settings_of
+from tests.test_edges import machine, spec_of
+
+WORKERS = settings_of(0).params.workers
+SILENCE_S = c.SILENT_REPORTS * REPORT_S
+CANCELLED_AT = 100.0
+DUE_AT = CANCELLED_AT + return_after_s(WORKERS) + 0.1
+
+
+def silent(**more: Any) -> Machine:
+    one = machine("n-1")
+    one.seen_at, one.probes = CANCELLED_AT - 5.0, c.SILENT_PROBES
+    for name, value in more.items():
+        setattr(one, name, value)
+    return one
+
+
+def seen(**more: Any) -> Seen:
+    return Seen(**{"started": 0.0, "sure": True, "heard_at": DUE_AT, "kept_zones": set(), **more})
+
+
+def test_the_moment_leaves_time_for_a_successor_and_for_a_lost_answer() -> None:
+    left_s = WORKERS.cancel_s - return_after_s(WORKERS)
+    takeover_s = c.LEADER_LEASE_MS / 1000 + SILENCE_S
+    assert left_s > takeover_s + c.CLOUD_REQUEST_S + c.CLOUD_RETRY_S + c.RETURN_CONFIRM_S
+    assert return_after_s(msgspec.structs.replace(WORKERS, cancel_s=1.0)) == 0.0
+
+
+@pytest.mark.parametrize(
+    ("one", "known", "since", "now", "decision"),
+    [
+        (silent(), seen(), math.inf, DUE_AT, Decision.NOTHING),
+        (silent(), seen(), CANCELLED_AT, DUE_AT, Decision.RETURN),
+        (silent(), seen(), CANCELLED_AT, DUE_AT - 0.2, Decision.WAIT),
+        (silent(seen_at=DUE_AT - 1.0), seen(), CANCELLED_AT, DUE_AT, Decision.WAIT),
+        (silent(), seen(started=DUE_AT - 1.0), CANCELLED_AT, DUE_AT, Decision.WAIT),
+        (silent(probes=1), seen(), CANCELLED_AT, DUE_AT, Decision.ASK),
+        (silent(probes=1, seen_at=-1.0), seen(), CANCELLED_AT, DUE_AT, Decision.RETURN),
+        (silent(), seen(kept_zones={"a"}), CANCELLED_AT, DUE_AT, Decision.KEEP_ZONE),
+        (silent(), seen(sure=False), CANCELLED_AT, DUE_AT, Decision.RETURN),
+        (silent(), seen(sure=False, heard_at=CANCELLED_AT - 3.0), CANCELLED_AT, DUE_AT, Decision.CUT_OFF),
+        (silent(), seen(sure=False), CANCELLED_AT, CANCELLED_AT + CANCEL_S + 1.0, Decision.TOO_LATE),
+        (silent(), seen(), CANCELLED_AT, CANCELLED_AT + CANCEL_S + 1.0, Decision.RETURN),
+    ],
+)
+def test_what_is_decided_of_a_silent_machine(
+    one: Machine, known: Seen, since: float, now: float, decision: Decision
+) -> None:
+    assert decide(one, since, known, WORKERS, now) is decision
+
+
+def cluster_with(cancelled: dict[str, float], *machines: Machine) -> Cluster:
+    cluster = cluster_of(*machines)
+    cluster._cancelled_since = lambda job_id: cancelled.get(job_id, math.inf)
+    return cluster
+
+
+def shown(name: str, attempt: int, seq: int, token: int = TOKEN) -> Any:
+    rows = [{"piece": "run-000001/0", "try": attempt, "status": "running"}]
+    return report(1, seq, token, perch=name, pieces=rows)
+
+
+def test_a_late_report_taken_in_by_the_next_leader_begins_no_time_anew() -> None:
+    """Seen with seed 700511: counted from the report's arrival, eleven seconds after the cancellation."""
+    one = machine("n-1")
+    cluster = cluster_with({"run-000001": 27.5}, one)
+    cluster.add_job(spec_of(1, pieces=1), 3, 0.0, set(), over=True)
+    cluster.on_report(shown("n-1", 41, 5, TOKEN - 1), 38.5, beat=True)
+    assert one.cancelled_since == 27.5
+    cluster.on_report(report(1, 6), 40.0, beat=True)
+    assert math.isinf(one.cancelled_since), "it has shown that nothing of it is there"
+
+
+def test_a_late_report_from_before_the_launch_does_not_say_that_nothing_is_there() -> None:
+    one = machine("n-1")
+    cluster = cluster_with({"run-000001": 27.5}, one)
+    cluster.depart(spec_of(1, pieces=1), 1, 30.0)
+    cluster.on_report(report(1, 5, TOKEN - 1), 38.5, beat=True)
+    assert cluster.cancelled_since(one, cluster.departed_since(39.0)) == 27.5
+    assert math.isinf(cluster.departed_since(27.5 + CANCEL_S + 0.1)), "what was cancelled so long ago is not looked for"
+    cluster.on_report(report(1, 6), 40.0, beat=True)
+    assert math.isinf(cluster.cancelled_since(one, cluster.departed_since(41.0))), "it has shown our token"
+
+
+@pytest.mark.parametrize("first", [True, False])
+def test_a_task_that_another_machine_runs_is_owed_where_it_is_shown_as_well(first: bool) -> None:
+    one, two = machine("n-1"), machine("n-2")
+    cancelled: dict[str, float] = {}
+    cluster = cluster_with(cancelled, one, two)
+    cluster.add_job(spec_of(1, pieces=1), 3, 0.0, set())
+    cluster.on_report(shown("n-2", 42, 1), 1.0, beat=True)
+    if first:
+        cluster.on_report(shown("n-1", 41, 1), 2.0, beat=True)
+    cancelled["run-000001"] = 4.0
+    cluster.end_job("run-000001", 5.0)
+    if not first:
+        cluster.on_report(shown("n-1", 41, 1), 6.0, beat=True)
+    assert one.cancelled_since == two.cancelled_since == 4.0
+    cluster.on_report(report(1, 2), 7.0, beat=True)
+    assert math.isinf(one.cancelled_since)
+
+
+# --- from which moment --------------------------------------------------------------------------------
+
+
+def record(state: str, ended: float = 0.0) -> dict[str, Any]:
+    made: dict[str, Any] = wire.to_plain(store.JobRecord(state, spec_of(1), 2, ended=ended))
+    return made
+
+
+def test_no_user_was_told_before_the_last_reading_that_did_not_show_it() -> None:
+    replica = store.Replica()
+    replica.reload(5, [], 10.0)
+    replica.current_at = 9.0
+    replica.learn([("run-000001", record("queued"), 6)], 11.0)
+    replica.current_at = 20.0
+    replica.learn([("run-000001", record("withdrawn"), 7)], 26.0)
+    assert replica.cancelled_by("run-000001") == "run-000001"
+    assert replica.told_after("run-000001") == 20.0
+
+
+def test_a_node_that_began_since_cannot_tell_by_its_own_readings() -> None:
+    replica = store.Replica()
+    replica.reload(7, [wire.KeyValue("j/job/run-000001", record("withdrawn"), 7)], 10.0)
+    assert replica.cancelled_by("run-000001") == "run-000001"
+    assert replica.told_after("run-000001") is None
+    assert replica.cancelled_by("run-000002") is None
+
+
+def test_a_record_says_when_its_job_was_cancelled_and_an_earlier_version_can_read_it() -> None:
+    before = store.JobRecord("queued", spec_of(1), 2, at=100.0)
+    after = store.cancelled(before, 16.0, 160.0)
+    assert (after.state, after.ended, after.at) == ("withdrawn", 160.0, 100.0)
