--- a/pepperlatch/constants/core.py
+++ b/pepperlatch/constants/core.py
@@ -94,6 +94,7 @@
 SILENT_PROBES: Final = 2  # unanswered questions before a silent machine is given up
 WITNESS_ASKS: Final = 2  # machines; a controller that reaches neither of these is cut off itself, and knows nothing
 SILENT_MANY_SHARE: Final = 0.34  # share; if more machines are silent at once, the network is at fault
+CANCELLED_TOLD_MOST: Final = 300  # machines told to the other controllers in one message, 18 KB
 RETURN_CONFIRM_S: Final = 1.0  # s; the cloud confirms a return within this, unless it is away
 ELECTION_S: Final = 0.5  # s; from the end of a leader's lease until the next one has read what is recorded
 SILENT_LONG_S: Final = 90.0  # s; even if many are silent, machines that earn nothing are not paid for longer
--- a/pepperlatch/controller/contacts.py
+++ b/pepperlatch/controller/contacts.py
@@ -14,10 +14,12 @@
 from pepperlatch.constants import core as c
 from pepperlatch.controller.heartbeats.handler import HeartbeatHandler, LeaderContact
 from pepperlatch.controller.leader import Leader
+from pepperlatch.controller.leaderless import LeaderlessReturns
 from pepperlatch.controller.leadership import Leadership
 from pepperlatch.controller.owner import Owner, Reply
 from pepperlatch.controller.store import Replica
 from pepperlatch.controller.vouching import Vouching
+from pepperlatch.policy.cancellations import CancelledOn
 from pepperlatch.policy.delegation import DelegationAnswer, DelegationStatement
 from pepperlatch.policy.images import ImageMemory
 from pepperlatch.policy.model import Status
@@ -37,6 +39,8 @@
     relay: list[str] = []  # machines that the leader reaches only through others
     images: int = 0  # the last number of an image's use that the leader has told
     delegation: DelegationStatement | None = None  # of a follower that takes delegations
+    cancelled: list[CancelledOn] = []  # of the leader: machines that may hold a cancelled task
+    witnesses: list[str] = []  # of the leader: machines that it hears of
 
 
 def _message(body: bytes) -> PeerMessage | None:
@@ -54,7 +58,7 @@
     def __init__(
         self, settings: Settings, network: Network, clock: Callable[[], float], owner: Owner, replica: Replica,
         heartbeats: HeartbeatHandler, leadership: Leadership, vouching: Vouching, images: ImageMemory,
-        leader: Callable[[], Leader | None],
+        leader: Callable[[], Leader | None], leaderless: LeaderlessReturns,
     ) -> None:  # fmt: skip
         self._settings = settings
         self._network = network
@@ -66,6 +70,7 @@
         self._vouching = vouching
         self._images = images
         self._leader = leader
+        self._leaderless = leaderless
         self._images_told = (0, 0)  # by the leader with this token, up to this number of its own
         self._shown: tuple[int, float, dict[str, Any]] = (0, float("-inf"), {})  # under this token, since then
         self._peer_answered_at = float("-inf")
@@ -117,6 +122,7 @@
         message = _message(body)
         if message is None:
             return Response(400, {"error": "wanted: node and token"})
+        self._leaderless.told(message.cancelled, message.witnesses)
         return Response(200, self._heartbeats.barred(message.relay))
 
     # --- asking -----------------------------------------------------------------------------------
@@ -127,11 +133,11 @@
             await trio.sleep(c.CONTACT_EVERY_S)
             held, leader = self._replica.leader, self._leader()
             if leader is not None:
-                relayed = sorted(leader.cluster.relayed(self._clock()))
+                message = self._to_others(leader)
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._delegate_to_itself, leader)
                     for peer in self._settings.peers:
-                        nursery.start_soon(self._bar, leader, peer, relayed)
+                        nursery.start_soon(self._bar, leader, peer, message)
                     if self._clock() - self._replica.current_at > c.VOUCH_AFTER_S:
                         nursery.start_soon(self._vouching.ask, leader.term)
                 if why := self._cannot_lead(leader):
@@ -159,7 +165,8 @@
         sent = self._clock()
         told = self._images_told[1] if self._images_told[0] == token else 0
         statement = self._heartbeats.delegated.statement(token, sent)
-        answer = await self._ask_peer(peer, PEER_CONTACT, token, images=told, delegation=statement)
+        message = PeerMessage(self._settings.node, token, images=told, delegation=statement)
+        answer = await self._ask_peer(peer, PEER_CONTACT, message)
         if answer is not None:
             self._take_delegation(statement, answer.pop(DELEGATION, None), token, sent)
             self._images_told = (token, max(told, self._images.learn(answer.pop(IMAGES, []))))
@@ -184,21 +191,25 @@
         if answer is not None:
             self._heartbeats.delegated.prolonged(statement, answer, token, sent)
 
-    async def _bar(self, leader: Leader, peer: Peer, relayed: list[str]) -> None:
+    def _to_others(self, leader: Leader) -> PeerMessage:
+        """What the leader tells all other controllers, so that they need not ask."""
+        now, cluster = self._clock(), leader.cluster
+        return PeerMessage(
+            self._settings.node, leader.term.token, relay=sorted(cluster.relayed(now)),
+            cancelled=cluster.cancelled_on(now), witnesses=cluster.last_heard(),
+        )  # fmt: skip
+
+    async def _bar(self, leader: Leader, peer: Peer, message: PeerMessage) -> None:
         """Counted from before the question, the promise is shorter for us than for the one that gave it."""
         sent = self._clock()
-        answer = await self._ask_peer(peer, PEER_BAR, leader.term.token, relayed)
+        answer = await self._ask_peer(peer, PEER_BAR, message)
         if answer is not None:
             self._peer_answered_at = self._clock()
             until = sent + c.STAND_IN_BAR_S - c.STAND_IN_SLACK_S
             self._owner.post(lambda: leader.cluster.on_promise(peer.node, answer, until, self._clock()))
 
-    async def _ask_peer(
-        self, peer: Peer, path: str, token: int, relay: list[str] | None = None, images: int = 0,
-        delegation: DelegationStatement | None = None,
-    ) -> dict[str, Any] | None:  # fmt: skip
+    async def _ask_peer(self, peer: Peer, path: str, message: PeerMessage) -> dict[str, Any] | None:
         try:
-            message = PeerMessage(self._settings.node, token, relay or [], images, delegation)
             body = msgspec.to_builtins(message)
             status, answer = await self._network.request(peer.addr, "POST", path, body, c.PROBE_S)
         except (NotSent, Lost):
--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -17,6 +17,7 @@
 from pepperlatch.controller.heartbeats.forwarding import PEER_HEARTBEAT, PEER_HEARTBEATS
 from pepperlatch.controller.heartbeats.handler import HeartbeatHandler
 from pepperlatch.controller.leader import Leader
+from pepperlatch.controller.leaderless import LeaderlessReturns
 from pepperlatch.controller.leadership import Leadership, Term, hold_seconds
 from pepperlatch.controller.owner import Owner
 from pepperlatch.controller.parts import Core, Part, Parts, Told
@@ -76,9 +77,12 @@
         )  # fmt: skip
         self.parts = Parts([part(core) for part in parts])
         self.images = ImageMemory()
+        self.leaderless = LeaderlessReturns(
+            params.workers, clock, self.replica, lambda: self.leader is not None, self.workers, self.peers, self.cloud
+        )
         self.contacts = Contacts(
             settings, network, clock, self.owner, self.replica, self.heartbeats, self.leadership, self.vouching,
-            self.images, lambda: self.leader,
+            self.images, lambda: self.leader, self.leaderless,
         )  # fmt: skip
         self.leader: Leader | None = None
         self._nursery: trio.Nursery | None = None
@@ -93,7 +97,8 @@
             loops = (
                 self.owner.run, self.watched.watch, self.watched.serve_syncs, self.users.create_loop,
                 self.contacts.run, self._health_loop, self._homes_loop, self._types_loop, self.parts.run,
-                self.heartbeats.forwarder.run, partial(self.watched.keep_current, lambda: self.leader is not None),
+                self.heartbeats.forwarder.run, self.leaderless.run,
+                partial(self.watched.keep_current, lambda: self.leader is not None),
             )  # fmt: skip
             for loop in loops:
                 nursery.start_soon(loop)
--- a/pepperlatch/controller/health.py
+++ b/pepperlatch/controller/health.py
@@ -97,7 +97,7 @@
         self._look_at_zones(quiet, now)
         silent = [m for m in quiet if m.seen_at >= 0 or m.fence_failed or m.name not in cluster.unaccounted]
         if silent:
-            self._reached = self._last_heard()
+            self._reached = cluster.last_heard()
         for machine in self._worth_asking(silent):
             if not machine.probing:
                 machine.probing = True
@@ -228,11 +228,6 @@
             through_others = report is not None
         self._duty.owner.post(lambda: self._probed(machine, report, sent, through_others, heard))
 
-    def _last_heard(self) -> list[str]:
-        """Machines that others should reach if they reach any: asked too by one that does not reach the silent one."""
-        up = (m for m in self._duty.cluster.machines.values() if m.status is Status.UP and m.seen_at >= 0)
-        return [m.addr for m in heapq.nlargest(c.WITNESS_ASKS, up, key=lambda m: (m.seen_at, m.name))]
-
     def _probed(
         self, machine: Machine, report: Report | None, sent: float, through_others: bool, heard: bool
     ) -> None:  # fmt: skip
--- a/pepperlatch/controller/peers.py
+++ b/pepperlatch/controller/peers.py
@@ -100,9 +100,9 @@
         try:
             return Response(200, wire.to_plain(await self._workers.inspect(message.addr)))
         except (NotSent, Lost) as error:
-            return Response(504, {"error": str(error), "reaches": await self._reaches(message.others)})
+            return Response(504, {"error": str(error), "reaches": await self.reaches(message.others)})
 
-    async def _reaches(self, others: list[str]) -> bool:
+    async def reaches(self, others: list[str]) -> bool:
         """Whether any of these machines answers us: else we are cut off from them all, and cannot tell of one."""
         reached = False
 
--- a/pepperlatch/policy/cancellations.py
+++ b/pepperlatch/policy/cancellations.py
@@ -9,11 +9,21 @@
 from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from pepperlatch.constants import core as c
 from pepperlatch.policy.model import Machine
 from pepperlatch.settings import Workers
 
 
+class CancelledOn(msgspec.Struct, array_like=True):
+    """A machine that may hold a task of a cancelled job, as the leader tells the other controllers."""
+
+    machine: str
+    addr: str
+    ago_s: float  # no user was told earlier
+
+
 class Decision(Enum):
     """What to do about a silent machine; the texts stand in the log."""
 
--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -4,6 +4,7 @@
 `unsaved`, `to_record` and `to_release` for the daemon to carry out.
 """
 
+import heapq
 import logging
 import math
 from collections import deque
@@ -14,6 +15,7 @@
 from pepperlatch.constants import core as c
 from pepperlatch.policy import reasons
 from pepperlatch.policy.boots import Boots
+from pepperlatch.policy.cancellations import CancelledOn
 from pepperlatch.policy.delegation import DelegationAnswer, Delegations, DelegationStatement
 from pepperlatch.policy.events import Listener, Nobody
 from pepperlatch.policy.images import ImageMemory
@@ -180,6 +182,19 @@
         unaccounted = machine.name in self.unaccounted
         return min(machine.cancelled_since, departed_since) if unaccounted else machine.cancelled_since
 
+    def last_heard(self) -> list[str]:
+        """Machines that others should reach if they reach any: asked too by one that does not reach a silent one."""
+        up = (m for m in self.machines.values() if m.status is Status.UP and m.seen_at >= 0)
+        return [m.addr for m in heapq.nlargest(c.WITNESS_ASKS, up, key=lambda m: (m.seen_at, m.name))]
+
+    def cancelled_on(self, now: float) -> list[CancelledOn]:
+        """The machines that may hold a task of a cancelled job; those that were not heard of for longest first."""
+        departed_since = self.departed_since(now)
+        found = [(m, self.cancelled_since(m, departed_since)) for m in self.machines.values() if m.addr]
+        found = [(machine, since) for machine, since in found if math.isfinite(since)]
+        found.sort(key=lambda row: (row[0].seen_at, row[0].name))
+        return [CancelledOn(m.name, m.addr, now - since) for m, since in found[: c.CANCELLED_TOLD_MOST]]
+
     def explain(self, job: Job, reason: Reason, now: float) -> None:
         """State why the job waits, or that it does not."""
         if job.explain(reason, now):
