--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -21,6 +21,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 BROKEN, HELD, NOT_RUN = 1, 0, 2
+MAX_BYTES = 64 * 1024  # PROTOCOL: the limit of request bodies, and of lines in responses to workers and users
 
 
 class CannotRun(Exception):
@@ -122,6 +123,7 @@
     def __init__(self, address):
         self.address = address
         self.streams = None
+        self.longest_line = 0  # bytes, of the body of the last response
 
     async def request(self, method, path, body=None, timeout_s=5.0):
         """Status, headers and decoded body; status 0 without an answer in time."""
@@ -143,6 +145,7 @@
         message = await read_message(reader)
         if message is None:
             raise ConnectionError("closed before the answer")
+        self.longest_line = max(map(len, message[2].split(b"\n")))
         status = int(message[0].split(" ", 2)[1])
         if message[1].get("connection", "").lower() == "close":
             self.close()
@@ -364,9 +367,15 @@
     def _drop(self, why):
         for (piece, attempt), task in self.tasks.items():
             if task["status"] != "ended":
-                self.bench.record(f"{self.name}: {piece} try {attempt} is off the machine: {why}")
+                self.note(f"{piece} try {attempt} is off the machine: {why}", piece)
         self.tasks.clear()
 
+    def note(self, text, piece):
+        """Record what happened to a task; of large arrays only the first three tasks."""
+        job_id, _, number = piece.partition("/")
+        if int(number) < 3 or self.bench.jobs[job_id]["pieces"] <= 100:
+            self.bench.record(f"{self.name}: {text}")
+
     def report(self):
         self.tally += 1
         pieces = []
@@ -399,13 +408,13 @@
                         self.images.add(job["bundle"])
                         task["status"] = "running"
                         task["until"] = None if job["shape"] == "daemon" else now + job["run_s"]
-                        self.bench.record(f"{self.name}: {piece} try {attempt} runs")
+                        self.note(f"{piece} try {attempt} runs", piece)
                         if piece in self.bench.results:
                             task["until"] = now
                     else:
                         task.update(status="ended", cause="done", until=None)
                         self.bench.results.add(piece)
-                        self.bench.record(f"{self.name}: {piece} try {attempt} done")
+                        self.note(f"{piece} try {attempt} done", piece)
                     self.changed.set()
 
     async def _reports(self):
@@ -418,7 +427,14 @@
                 connection = Connection(address)
             sent, tenure = time.monotonic(), self.tenure
             self.changed.clear()
-            status, _, answer = await connection.request("POST", "/agent/beat", self.report(), 4.0)
+            report = json.dumps(self.report(), separators=(",", ":")).encode()
+            status, _, answer = await connection.request("POST", "/agent/beat", report, 4.0)
+            if len(report) > MAX_BYTES:
+                self.bench.record(f"{self.name}: its own report had {len(report)} bytes; answered {status}")
+                self.bench.reports_refused += status == 400
+            if status == 200 and connection.longest_line > MAX_BYTES:
+                self.bench.oversize(f"{self.name}: a response with a line of {connection.longest_line} bytes; dropped")
+                status = 0
             if status == 200 and isinstance(answer, dict):
                 baton = answer.get("baton", -1)
                 if baton >= self.baton and tenure == self.tenure:
@@ -453,7 +469,7 @@
                 self._launch(*key)
             elif order["verb"] == "kill" and task is not None and task["status"] != "ended":
                 task.update(status="ended", cause="halted", until=None)
-                self.bench.record(f"{self.name}: {key[0]} try {key[1]} killed")
+                self.note(f"{key[0]} try {key[1]} killed", key[0])
                 self.changed.set()
             elif order["verb"] == "reap" and task is not None and task["status"] == "ended":
                 del self.tasks[key]
@@ -481,6 +497,9 @@
     async def handle(self, method, path, body):
         if path == "/inspect":
             return 200, self.report()
+        if len(body) > MAX_BYTES:
+            self.bench.oversize(f"{self.name}: a request of {len(body)} bytes to {path}; refused with 400")
+            return 400, {"error": "the body is larger than 64 KiB"}
         message = json.loads(body)
         if "baton" not in message or "tenure" not in message:
             return 400, {"error": "baton and tenure wanted"}
@@ -493,7 +512,7 @@
 
 
 class Cloud:
-    """Rents machines; `capacity` bounds the ordinary machines of each zone."""
+    """Rents machines; `capacity` bounds the ordinary machines of each type and zone; no spot ones."""
 
     def __init__(self, bench, capacity):
         self.bench, self.capacity = bench, dict(capacity)
@@ -516,7 +535,7 @@
                 machine = self.machines.pop(name, None)
                 if machine is not None:
                     self.bench.record(f"cloud: {name} returned")
-                    self.capacity[machine["yard"]] += 1
+                    self.capacity[machine["build"], machine["yard"]] += 1
                     if machine["worker"] is not None:
                         machine["worker"].stop()
             return 200, {}
@@ -536,7 +555,7 @@
     def _rent(self, request):
         if request["hire"] in self.hires:
             return 200, {"perches": self.hires[request["hire"]]}
-        zone, room = request["yard"], self.capacity.get(request["yard"], 0)
+        zone, room = request["yard"], self.capacity.get((request["build"], request["yard"]), 0)
         if room <= 0 or request["loaners"]:
             return 503, {"error": "no capacity"}
         names = [self.add(request["build"], zone) for _ in range(min(room, request["count"], 50))]
@@ -547,7 +566,7 @@
     def add(self, build, zone):
         self.next += 1
         name = f"n-{self.next:06d}"
-        self.capacity[zone] -= 1
+        self.capacity[build, zone] -= 1
         self.machines[name] = {"build": build, "yard": zone, "worker": None, "at": time.monotonic()}
         asyncio.get_running_loop().create_task(self._boot(name, self.bench.boot_s))
         return name
@@ -687,6 +706,8 @@
         self.types = {kind["sku"]: kind for kind in types}
         self.boot_s = boot_s
         self.jobs, self.results, self.leases_ended = {}, set(), []
+        self.reports_refused = 0  # reports of workers beyond the protocol's limit
+        self.oversized = 0  # requests and responses of controllers to workers beyond the protocol's limit
         self.capacity = capacity
         self.controllers = []
         self.state = self.cloud = self.balancer = None
@@ -710,6 +731,21 @@
             await asyncio.sleep(0.1)
         self.record(f"all {controllers} controllers are healthy, {self.state.leader()} leads")
 
+    def oversize(self, text):
+        self.oversized += 1
+        self.record(text)
+
+    def running(self, job_id):
+        """How many tasks of the job have their image and run on a machine now."""
+        machines = [m["worker"] for m in self.cloud.machines.values() if m["worker"] is not None]
+        return sum(
+            1 for worker in machines for (piece, _), task in worker.tasks.items()
+            if piece.partition("/")[0] == job_id and task["status"] == "running"
+        )  # fmt: skip
+
+    def running_in_all(self):
+        return sum(self.running(job_id) for job_id in self.jobs)
+
     def leader(self):
         return next((c for c in self.controllers if c.name == self.state.leader()), None)
 
@@ -784,10 +820,37 @@
         "sku": "breadfruit-box", "cores": 16, "gpus": 0, "memory_gb": 64, "cache_gb": 70, "pull_gb_per_s": 0.3,
         "rate": 0.89, "market_price": 0.23, "ready_s": 15, "yards": params["zones"],
     }  # fmt: skip
-    capacity = {"st-elizabeth": 9, "clarendon-hills": 8, "portland-east": 6}
+    counts = {"st-elizabeth": 9, "clarendon-hills": 8, "portland-east": 6}
+    capacity = {("breadfruit-box", zone): count for zone, count in counts.items()}
     return Bench(folder, record, params, [kind], capacity, boot_s=10.0)
 
 
+def stations_bench(folder, record):
+    """The small zarqa-air-stations deployment: three controllers, 19 machines at most, none up at the start."""
+    teams = [("station-field-crew", 40.0, 128.0)]
+    teams += [(name, 32.0, 96.0) for name in ("health-liaison", "data-quality-desk", "web-services", "night-duty")]
+    params = params_of(
+        ["amman-hills", "zarqa-east", "irbid-north", "aqaba-coast"], teams, (3.0, 18.0, 40.0, 5.0, 48.0),
+        (150.0, 40.0, 16.0, 32), (4.0, 5.0), clock_error_ms=1000.0,
+        limits={"cpu": 0.36, "mem_mb": 146.0, "sockets": 900},
+    )  # fmt: skip
+    sizes = [("small", 4, 30, 0.3, 0.18, 0.06, 35), ("medium", 8, 60, 0.6, 0.33, 0.11, 15)]
+    sizes += [("heavy", 64, 70, 0.8, 2.77, 0.88, 15)]
+    zones = {"small": params["zones"][1:3], "medium": params["zones"], "heavy": params["zones"][1:]}
+    kinds = [
+        {
+            "sku": f"kestrel-{name}", "cores": cores, "gpus": 0, "memory_gb": 4 * cores, "cache_gb": cache,
+            "pull_gb_per_s": rate, "rate": price, "market_price": spot, "ready_s": boot, "yards": zones[name],
+        }
+        for name, cores, cache, rate, price, spot, boot in sizes
+    ]  # fmt: skip
+    capacity = {
+        (f"kestrel-{name}", zone): count
+        for name, count in (("small", 7), ("medium", 1), ("heavy", 1)) for zone in zones[name]
+    }  # fmt: skip
+    return Bench(folder, record, params, kinds, capacity, boot_s=10.0)
+
+
 def main(case, limit_s=112.0):
     """Run `case(bench_folder, record, trouble) -> BROKEN or HELD` and exit with its result, 2 if it could not run."""
     folder = Path(sys.argv[1]).resolve()
