--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -623,7 +623,7 @@
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 [*run, str(self.write_settings())], cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                start_new_session=True, env={**os.environ, "LOG_LEVEL": "info"},
+                env={**os.environ, "LOG_LEVEL": "info"},
             )  # fmt: skip
         self.bench.record(f"{self.name}: process {self.process.pid} started")
 
@@ -858,6 +858,7 @@
     record = Record(folder / "record.txt")
     record.say(f"disruption: {'yes' if trouble else 'no'}")
     with tempfile.TemporaryDirectory(prefix="pepperlatch-review-") as temporary:
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # the controllers are ended on the way out
         try:
             result = asyncio.run(asyncio.wait_for(case(Path(temporary), record, trouble), limit_s))
         except (CannotRun, asyncio.TimeoutError, OSError) as error:
