--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import bisect
+import itertools
 import json
 import os
 import random
@@ -195,6 +197,7 @@
     def __init__(self, params, latency_ms=3.0):
         self.params, self.latency_s = params, latency_ms / 1000
         self.keys, self.revision, self.log = {}, 0, []
+        self.in_order = None  # the keys in order, made when needed
         self.leases, self.next_lease = {}, 0
         self.requests, self.writes = Bucket(params["rps"]), Bucket(params["write_rps"])
         self.changed = asyncio.Event()
@@ -238,14 +241,30 @@
 
     def _page(self, query):
         most, prefix, after = min(1000, int(query.get("page", 1000))), query["under"], query.get("after", "")
-        found = sorted(key for key in self.keys if key.startswith(prefix) and key > after)
-        pairs, size = [], 0
-        for key in found[:most]:
+        if self.in_order is None:
+            self.in_order = sorted(self.keys)
+        first = bisect.bisect_right(self.in_order, after) if after > prefix else bisect.bisect_left(self.in_order, prefix)
+        pairs, size, truncated = [], 0, False
+        for key in itertools.islice(self.in_order, first, None):
+            if not key.startswith(prefix):
+                break
             size += len(json.dumps(self._pair(key)))
-            if pairs and size > 512 * 1024:
+            if len(pairs) == most or (pairs and size > 512 * 1024):
+                truncated = True
                 break
             pairs.append(self._pair(key))
-        return 200, {"pairs": pairs, "truncated": len(pairs) < len(found), "ledger_mark": self.revision}
+        return 200, {"pairs": pairs, "truncated": truncated, "ledger_mark": self.revision}
+
+    def load(self, pairs):
+        """Put many keys at once, each with a revision of its own, as if it had been written long ago."""
+        for key, value in pairs:
+            self.revision += 1
+            self.keys[key] = (value, self.revision, None)
+            self.log.append((self.revision, key, {"set": key, "value": value, "stamp": self.revision}))
+        del self.log[:-10000]
+        self.in_order = None
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     async def _watch(self, query):
         after, prefix = int(query["after"]), query["under"]
@@ -293,10 +312,12 @@
         for write in writes:
             if "set" in write:
                 key = write["set"]
+                self.in_order = self.in_order if key in self.keys else None
                 self.keys[key] = (write["value"], self.revision, write.get("tenancy"))
                 self.log.append((self.revision, key, {"set": key, "value": write["value"], "stamp": self.revision}))
             elif self.keys.pop(write["delete"], None) is not None:
                 key = write["delete"]
+                self.in_order = None
                 self.log.append((self.revision, key, {"delete": key, "stamp": self.revision}))
         del self.log[:-10000]
         self.changed.set()
