Review: remarks in the stand-ins that no longer hold are removed

Cause: the description of the state service named an argument that it does not have. Change: review/common/harness.py, remarks and one unused field only.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -190,8 +190,7 @@
 class StateService:
     """Keys, transactions, leases and watches of PROTOCOL, in memory, with its limits.
 
-    `served_writes` counts puts and deletes that were carried out; `late` may delay a transaction's answer: it is called
-    with the transaction's body and returns seconds.
+    `served_writes` counts puts and deletes that were carried out, `refused` requests that were answered with 429.
     """
 
     def __init__(self, params, latency_ms=3.0):
@@ -681,7 +680,6 @@
         self.bench = bench
         self.healthy = {}
         self.open = {}
-        self.unanswered_since = {}
 
     async def run(self):
         await asyncio.gather(*(self._probe(controller) for controller in self.bench.controllers))
