--- a/review/1/case.py
+++ b/review/1/case.py
@@ -55,6 +55,7 @@
 
 
 async def case(folder, record, trouble):
+    """Play the case; `record` writes record.txt. Returns whether the rule was broken or held."""
     bench, submission = h.portal_bench(folder, record), None
     try:
         await bench.start(3)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -18,6 +18,7 @@
 
 
 async def case(folder, record, trouble):
+    """Play the case; `record` writes record.txt. Returns whether the rule was broken or held."""
     bench = h.stations_bench(folder, record)
     try:
         await bench.start(3)
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -34,7 +34,7 @@
 
 
 class Record:
-    """Writes what was sent, answered and run, with seconds since the start, to record.txt."""
+    """Writes what was sent, answered and run, with seconds since the start, to the case's record.txt."""
 
     def __init__(self, path):
         self.began = time.monotonic()
@@ -872,9 +872,9 @@
 
 def main(case, limit_s=112.0):
     """Run `case(bench_folder, record, trouble) -> BROKEN or HELD` and exit with its result, 2 if it could not run."""
-    folder = Path(sys.argv[1]).resolve()
+    path = Path(sys.argv[1]).resolve()  # record.txt in the folder of the case
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder / "record.txt")
+    record = Record(path)
     record.say(f"disruption: {'yes' if trouble else 'no'}")
     with tempfile.TemporaryDirectory(prefix="pepperlatch-review-") as temporary:
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # the controllers are ended on the way out
