Urgency of chained jobs spreads by levels and in slices

Cause: Prerequisites._tighten followed a job's needs anew each time its due time became earlier, with a stack: in fork-join stages whose longer branch doubles, once for each path. It ran in Replica.apply on every controller without a pause, and again after a restart.

Change: policy/inherited_urgency.py. A job's level is above those of the jobs that it needs; changes spread from the highest level down, so one change visits a job once. The command loop does at most 5,000 edges between two batches, in every role. The leader applies the urgencies that changed, not those of all that a changed job needs.

Nothing is stored or sent, so old records and old processes are not touched by it; an old process beside a new one still stops.

The two tests that read an urgency at once now spread it first; what they assert is unchanged.

--- a/pepperlatch/constants/core.py
+++ b/pepperlatch/constants/core.py
@@ -194,6 +194,8 @@
 # --- chained jobs ---------------------------------------------------------------------------------
 # Time from the last task of a job to the first task of the next job: reports, a record, a launch, its image.
 CHAIN_STEP_S: Final = 3.0  # s
+# Edges of the graph of jobs that are followed in one batch of commands to spread urgencies; a few ms of work.
+MAX_URGENCY_STEPS_PER_BATCH: Final = 5_000  # edges
 MAX_NAME_CHARS_SHOWN: Final = 100  # characters shown of a name that no job has; it may be as long as a request
 MAX_NAMES_SHOWN: Final = 3  # jobs named in a waiting reason, where further ones are only counted; types in a refusal
 
--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -147,8 +147,13 @@
 
     def _after_batch(self) -> None:
         """Called by the command loop after each batch of commands."""
+        urgencies = self.replica.prerequisites.urgencies
+        changed = urgencies.update(c.MAX_URGENCY_STEPS_PER_BATCH)
         if self.leader is not None:
+            self.leader.on_urgencies(changed)
             self.leader.after_batch()
+        if urgencies.pending():
+            self.command_loop.enqueue(lambda: None)  # the next batch follows at once, after other tasks have run
 
     # --- listener for users and workers -----------------------------------------------------------
 
--- a/pepperlatch/controller/leader.py
+++ b/pepperlatch/controller/leader.py
@@ -244,7 +244,7 @@
 
     def _apply_urgency(self, job_id: str) -> None:
         """Give a job the priority rank and due time of the jobs that need it, where those are stronger."""
-        job, urgency = self.cluster.jobs.get(job_id), self.replica.prerequisites.urgency(job_id)
+        job, urgency = self.cluster.jobs.get(job_id), self.replica.prerequisites.urgencies.of(job_id)
         if job is None or urgency is None:
             return
         due_at = self.clock() + urgency.due - self.wall() if urgency.due < math.inf else None
@@ -268,12 +268,16 @@
                 self._add_job(job_id)
             else:
                 known.version = entry.version
-        for job_id in self.replica.prerequisites.with_needed(touched):
-            self._apply_urgency(job_id)
         if self.replica.tuning[1] != self._tuning_version:
             self._tuning_version = self.replica.tuning[1]
             self.planner.settings = OperatorSettings(self.replica.tuning[0])
 
+    def on_urgencies(self, changed: set[str]) -> None:
+        """Take in that these jobs have become more or less urgent through jobs that need them."""
+        if self.ready:
+            for job_id in changed:
+                self._apply_urgency(job_id)
+
     # --- reports ----------------------------------------------------------------------------------
 
     def on_heartbeats(self, reports: list[Report], follower: str, reply: Reply[list[HeartbeatAnswer]]) -> None:
--- a/pepperlatch/controller/store.py
+++ b/pepperlatch/controller/store.py
@@ -26,7 +26,8 @@
 import trio
 
 from pepperlatch.constants import core as c
-from pepperlatch.policy.prerequisites import Prerequisites, Urgency
+from pepperlatch.policy.inherited_urgency import Urgency
+from pepperlatch.policy.prerequisites import Prerequisites
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.state import NotExecuted, OutcomeUnknown, StateClient
 
--- a/pepperlatch/policy/prerequisites.py
+++ b/pepperlatch/policy/prerequisites.py
@@ -1,41 +1,14 @@
-"""The graph of jobs that need others: when a job is ready, which are cancelled with it, and inherited urgency.
+"""The graph of jobs that need others: when a job is ready, and which are cancelled with it.
 
-No I/O, no clock. A job can name only jobs accepted before it, and none is ever deleted, so there are no cycles. Walks
-use a list instead of recursion, since chains may be long, and visit each job once.
+`inherited_urgency.py` says how urgent they are. No I/O, no clock. A job can name only jobs accepted before it, and none
+is ever deleted, so there are no cycles. Walks use a list instead of recursion, since chains may be long, and visit each
+job once.
 """
 
-import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from pepperlatch.constants.core import CHAIN_STEP_S
-
-
-@dataclass(frozen=True, slots=True)
-class Urgency:
-    """How urgent a job is, by its own priority and deadline or by those of jobs that need it."""
-
-    rank: int  # of a priority; a smaller rank is stronger
-    due: float = math.inf  # time of day, in seconds, at which it should be done
-    jobs_after: int = 0  # jobs between this one and the end of the chain whose deadline `due` comes from
-
-    def combined_with(self, other: "Urgency") -> "Urgency":
-        """The stronger rank and the earlier due time of both."""
-        due, after = min((self.due, -self.jobs_after), (other.due, -other.jobs_after))
-        return Urgency(min(self.rank, other.rank), due, -after)
-
-
-@dataclass(slots=True)
-class _UnfinishedJob:
-    """What is known of an unfinished job, without its dependents."""
-
-    own: Urgency  # without what it inherits
-    run_s: float  # estimated run time in seconds
-
-    def required_of_needed(self, urgency: Urgency) -> Urgency:
-        """The urgency that a job needed by this one must have for this one, with the given urgency, to be in time."""
-        chained = urgency.due < math.inf
-        return Urgency(urgency.rank, urgency.due - self.run_s - CHAIN_STEP_S, urgency.jobs_after + 1 if chained else 0)
+from pepperlatch.policy.inherited_urgency import InheritedUrgency, Urgency
 
 
 @dataclass(slots=True)
@@ -47,9 +20,11 @@
     # Cancelled job -> the job whose record says cancelled.
     cancelled_through: dict[str, str] = field(default_factory=dict)
     done_at: dict[str, float] = field(default_factory=dict)  # finished job -> time of day; 0 if it was not recorded
-    _unfinished: dict[str, _UnfinishedJob] = field(default_factory=dict)
-    # A cache: if it holds a job, it also holds all of the job's unfinished dependents.
-    _urgency: dict[str, Urgency] = field(default_factory=dict)
+    urgencies: InheritedUrgency = field(init=False)
+    _unfinished: set[str] = field(default_factory=set)  # neither done nor cancelled, their descriptions have been read
+
+    def __post_init__(self) -> None:
+        self.urgencies = InheritedUrgency(self.needs, self.dependents)
 
     def unfinished(self) -> Iterable[str]:
         """Jobs that are neither done nor cancelled and whose descriptions have been read."""
@@ -64,13 +39,13 @@
         """
         if job_id in self._unfinished or job_id in self.cancelled_through or job_id in self.done_at:
             return set()
-        self._unfinished[job_id] = _UnfinishedJob(own, run_s)
+        self._unfinished.add(job_id)
         named = tuple(needs)
         if named:
             self.needs[job_id] = named
             for name in named:
                 self.dependents.setdefault(name, []).append(job_id)
-        self._tighten(job_id)
+        self.urgencies.add(job_id, own, run_s)
         over = next((self.cancelled_through[name] for name in named if name in self.cancelled_through), None)
         return self.cancel(job_id, over) if over is not None else set()
 
@@ -99,8 +74,8 @@
         return found
 
     def _drop(self, job_id: str) -> None:
-        self._forget_urgency(job_id)
-        self._unfinished.pop(job_id, None)
+        self.urgencies.remove(job_id)
+        self._unfinished.discard(job_id)
 
     # --- readiness --------------------------------------------------------------------------------
 
@@ -115,58 +90,3 @@
         later, is used instead.
         """
         return max([submitted, *(self.done_at.get(name, 0.0) for name in self.needs.get(job_id, ()))])
-
-    # --- inherited urgency ------------------------------------------------------------------------
-
-    def urgency(self, job_id: str) -> Urgency | None:
-        """The job's urgency, with what it inherits from jobs that need it; None if it is over or unknown."""
-        todo = [job_id]
-        while todo:
-            name = todo[-1]
-            missing = (
-                [d for d in self._unfinished_dependents(name) if d not in self._urgency]
-                if name not in self._urgency
-                else []
-            )
-            todo += missing
-            if missing:
-                continue
-            todo.pop()
-            if name in self._unfinished and name not in self._urgency:
-                urgency = self._unfinished[name].own
-                for after in self._unfinished_dependents(name):
-                    urgency = urgency.combined_with(self._unfinished[after].required_of_needed(self._urgency[after]))
-                self._urgency[name] = urgency
-        return self._urgency.get(job_id)
-
-    def _unfinished_dependents(self, job_id: str) -> Iterator[str]:
-        return (name for name in self.dependents.get(job_id, ()) if name in self._unfinished)
-
-    def with_needed(self, job_ids: Iterable[str]) -> set[str]:
-        """The given jobs and all unfinished ones that they need, directly or through others."""
-        found: set[str] = set()
-        todo = list(job_ids)
-        while todo:
-            name = todo.pop()
-            if name not in found:
-                found.add(name)
-                todo += (n for n in self.needs.get(name, ()) if n in self._unfinished)
-        return found
-
-    def _tighten(self, job_id: str) -> None:
-        """Update the cache for a new job: it can only make the jobs that it needs more urgent."""
-        todo = [job_id]
-        self.urgency(job_id)
-        while todo:
-            name = todo.pop()
-            required = self._unfinished[name].required_of_needed(self._urgency[name])
-            for need in self.needs.get(name, ()):
-                known = self._urgency.get(need)
-                if known is not None and (tighter := known.combined_with(required)) != known:
-                    self._urgency[need] = tighter
-                    todo.append(need)
-
-    def _forget_urgency(self, job_id: str) -> None:
-        """Drop the cached urgency of the job and of all that it needs, since theirs may follow from it."""
-        for name in self.with_needed([job_id]):
-            self._urgency.pop(name, None)
--- a/tests/test_prerequisites.py
+++ b/tests/test_prerequisites.py
@@ -8,8 +8,9 @@
 
 from pepperlatch.controller import store
 from pepperlatch.policy import supply
+from pepperlatch.policy.inherited_urgency import Urgency
 from pepperlatch.policy.model import Job
-from pepperlatch.policy.prerequisites import Prerequisites, Urgency
+from pepperlatch.policy.prerequisites import Prerequisites
 from pepperlatch.protocol import wire
 from tests.fakes import CANCEL_S, World, job, run_scenario
 
@@ -249,7 +250,8 @@
     for n in range(1, 20_000):
         graph.add(f"j{n}", (f"j{n - 1}",), own, 1.0)
     graph.add("last", ("j19999",), Urgency(1, 100_000.0), 1.0)
-    urgency = graph.urgency("j0")
+    graph.urgencies.update()
+    urgency = graph.urgencies.of("j0")
     assert urgency is not None and urgency.rank == 1 and urgency.due == pytest.approx(100_000 - 20_000 * 4)
     assert graph.ready_at("last", 5.0) == 5.0 and graph.unmet_needs("last") == ["j19999"]
     wide = [f"w{n}" for n in range(20_000)]
@@ -265,8 +267,9 @@
     graph = Prerequisites()
     for job_id, needs, due in (("a", (), math.inf), ("b", ("a",), math.inf), ("c", ("a",), 90.0), ("d", ("b",), 90.0)):
         graph.add(job_id, needs, Urgency(3, due), 10.0)
-    assert graph.urgency("a") == Urgency(3, 90.0 - 2 * 13, 2)  # through b and d
-    assert graph.urgency("c") == Urgency(3, 90.0, 0)
+    graph.urgencies.update()
+    assert graph.urgencies.of("a") == Urgency(3, 90.0 - 2 * 13, 2)  # through b and d
+    assert graph.urgencies.of("c") == Urgency(3, 90.0, 0)
     spec = wire.convert(job(1, expected_s=10.0), wire.JobSpec)
     alone, first = Job(spec, 1, 0.0, False, due_at=70.0), Job(spec, 1, 0.0, False, due_at=70.0, after=2)
     assert supply.slack_s(alone, [], 0.0) > 0
