Orders to a worker are divided into messages that it accepts

Cause: Cluster.orders_direct and orders_for_heartbeat put the orders of all tasks of a machine into one message, 74 KB for 1,000 kills. The worker refuses such a request and drops such an answer.

Kills go first, those sent longest ago before others. Also for the kills of a follower that renews a lease for a silent leader (HeartbeatHandler._renew_lease), and for answers of a leader of an earlier version that a new follower passes on (limit_answer). A launch stays with the kill of the same attempt that follows it.

What it costs: an order is encoded once more, a sort of a machine's attempts for each message to it; linear in tasks a machine.

The fakes refuse requests beyond 64 KiB, drop such answers to workers and users, and count both as violations, in all scenarios.

--- a/pepperlatch/controller/heartbeats/handler.py
+++ b/pepperlatch/controller/heartbeats/handler.py
@@ -27,6 +27,7 @@
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.http.client import Network, NotSent, NoUsableResponse
 from pepperlatch.protocol.http.server import Response
+from pepperlatch.protocol.order_batch import OrderBatch, limit_answer
 from pepperlatch.protocol.state import StateClient
 from pepperlatch.protocol.wire import Report
 from pepperlatch.settings import Settings
@@ -165,7 +166,7 @@
             if status == 200 and isinstance(answer, dict):
                 number = answer.pop(GRANT, None)
                 self.delegated_answers.on_answered(report, number, wire.answer_token(answer), self._clock())
-                return Response(200, answer)
+                return Response(200, limit_answer(answer))
         except NotSent:
             refused = True
         except NoUsableResponse:
@@ -232,12 +233,12 @@
     def _renew_lease(self, report: Report) -> Response:
         """Renew the lease under the leader's token. The only orders are to kill tasks of jobs known to be over."""
         self._renewed_at[report.machine] = self._clock()
-        orders = []
+        batch = OrderBatch()
         for task in report.tasks:
             parts = split_task(task.task)
             if parts and self._is_over(parts[0]) and task.state is not wire.TaskState.EXITED:
-                orders.append(wire.kill(task.task, task.attempt, 0.0))
-        return Response(200, wire.report_answer(report.token, orders))
+                batch.add([wire.kill(task.task, task.attempt, 0.0)])
+        return Response(200, wire.report_answer(report.token, batch.orders))
 
     def revoke_renewal(self, unreached: list[str]) -> dict[str, float]:
         """Renew no leases on the leader's behalf for RENEWAL_REVOCATION_S, since it has shown that it is alive.
--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -25,6 +25,7 @@
 from pepperlatch.policy.quota import Quota, Usage
 from pepperlatch.policy.reasons import Reason
 from pepperlatch.protocol import wire
+from pepperlatch.protocol.order_batch import Order, OrderBatch
 from pepperlatch.protocol.wire import Cause, JobSpec, Kind, MachineType, Report, TaskReport, TaskState
 from pepperlatch.settings import Params
 
@@ -785,27 +786,50 @@
 
     # --- orders -----------------------------------------------------------------------------------
 
-    def orders_for_heartbeat(self, machine: Machine, sure: bool, now: float) -> list[dict[str, Any]]:
+    def orders_for_heartbeat(self, machine: Machine, sure: bool, now: float) -> list[Order]:
         """Orders for the answer to the machine's newest report; its next report shows whether they arrived.
 
-        `sure`: this leader's lease cannot have ended. Only then may finished tasks be reaped.
+        `sure`: this leader's lease cannot have ended. Only then may finished tasks be reaped. What does not fit into
+        the answer is left to a direct command or to the next answer.
         """
-        orders: list[dict[str, Any]] = []
-        offered_launches = set()
-        for key, attempt in list(machine.attempts.items()):
-            absent = attempt.phase is not Phase.CONFIRMED
-            more = self._orders_for(attempt, machine.seq, now)
-            orders += more
-            if absent and more:
-                offered_launches.add(key)
-        machine.offered_launches = (machine.seq, frozenset(offered_launches)) if offered_launches else None
+        batch = OrderBatch()
+        stopped, others = self._by_intent(machine)
+        offered_launches = self._add_orders(batch, stopped, machine.seq, now)
         for name, number in self.unknown_tasks.get(machine.name, {}):
-            orders.append(wire.kill(name, number, 0.0))
+            batch.add([wire.kill(name, number, 0.0)])
+        offered_launches += self._add_orders(batch, others, machine.seq, now)
+        keys = frozenset((attempt.name, attempt.number) for attempt in offered_launches)
+        machine.offered_launches = (machine.seq, keys) if keys else None
         if sure:
-            orders += [
-                wire.reap(*key) for key, task in machine.ended.items() if self._reapable(machine, key, task, now)
-            ]
-        return orders
+            for key, task in machine.ended.items():
+                if not batch.full and self._reapable(machine, key, task, now):
+                    batch.add([wire.reap(*key)])
+        return batch.orders
+
+    def _by_intent(self, machine: Machine) -> tuple[list[Attempt], list[Attempt]]:
+        """The machine's attempts that are to be stopped, those that were told longest ago first, and all others."""
+        stopped = [attempt for attempt in machine.attempts.values() if not attempt.wanted]
+        stopped.sort(key=lambda attempt: attempt.kill_sent_at)
+        return stopped, [attempt for attempt in machine.attempts.values() if attempt.wanted]
+
+    def _add_orders(self, batch: OrderBatch, attempts: list[Attempt], seq: int, now: float) -> list[Attempt]:
+        """Add the orders that are due for these attempts and note them as sent, as far as they fit.
+
+        `seq`: number of the report to be answered; -1 for a direct command. Returns the attempts launched. If some
+        orders do not fit, a direct command to the machine follows.
+        """
+        launched = []
+        for attempt in attempts:
+            orders = self._orders_due(attempt, heartbeat=seq >= 0, now=now)
+            if not orders:
+                continue
+            if not batch.add(orders):
+                self.machines_to_command.add(attempt.machine)
+                break
+            if attempt.phase is not Phase.CONFIRMED:
+                launched.append(attempt)
+            self._note_sent(attempt, seq, now)
+        return launched
 
     def _reapable(self, machine: Machine, key: Key, task: TaskReport, now: float) -> bool:
         """Whether the worker may forget an exited task: once the result is saved and no launch of it can arrive.
@@ -819,35 +843,35 @@
         job = self.jobs.get(parts[0]) if parts else None
         return job is None or task.end_cause is not Cause.DONE or (parts is not None and parts[1] in job.saved)
 
-    def _orders_for(self, attempt: Attempt, seq: int, now: float) -> list[dict[str, Any]]:
-        """Orders for one attempt, if any. `seq`: number of the report to be answered; -1 for a direct command."""
-        heartbeat = seq >= 0
+    def _orders_due(self, attempt: Attempt, heartbeat: bool, now: float) -> list[Order]:
+        """Orders for one attempt, if any; `heartbeat`: for the answer to a report, else for a direct command."""
         name, number = attempt.name, attempt.number
         if attempt.phase is Phase.PLANNED or (attempt.phase is Phase.UNCONFIRMED and heartbeat):
-            orders = [wire.launch(name, number)]
-            if attempt.phase is Phase.PLANNED:
-                attempt.phase = Phase.SENT
-                attempt.sent_seq = seq
-            if not attempt.wanted:  # a worker that holds it as exited ignores a launch that arrives late
-                orders.append(wire.kill(name, number, 0.0))
-            return orders
+            # A worker that holds it as exited ignores a launch that arrives late.
+            kills = [] if attempt.wanted else [wire.kill(name, number, 0.0)]
+            return [wire.launch(name, number), *kills]
         if not attempt.wanted and attempt.phase is Phase.CONFIRMED and now - attempt.kill_sent_at >= c.KILL_REPEAT_S:
-            grace = attempt.kill_grace_s or 0.0
-            attempt.kill_sent_at = now
-            return [wire.kill(name, number, grace)]
+            return [wire.kill(name, number, attempt.kill_grace_s or 0.0)]
         return []
 
-    def orders_direct(self, machine: Machine, now: float) -> tuple[list[dict[str, Any]], list[Attempt]]:
-        """Orders for a direct command, and the attempts that it launches, to be passed on to `direct_result`."""
-        orders: list[dict[str, Any]] = []
-        launched: list[Attempt] = []
-        for attempt in list(machine.attempts.values()):
-            planned = attempt.phase is Phase.PLANNED
-            more = self._orders_for(attempt, -1, now)
-            orders += more
-            if planned and more:
-                launched.append(attempt)
-        return orders, launched
+    def _note_sent(self, attempt: Attempt, seq: int, now: float) -> None:
+        """Note that the attempt's due orders are sent now. `seq`: as in `_add_orders`."""
+        if attempt.phase is Phase.PLANNED:
+            attempt.phase = Phase.SENT
+            attempt.sent_seq = seq
+        elif attempt.phase is Phase.CONFIRMED:
+            attempt.kill_sent_at = now
+
+    def orders_direct(self, machine: Machine, now: float) -> tuple[list[Order], list[Attempt]]:
+        """Orders for a direct command, and the attempts that it launches, to be passed on to `direct_result`.
+
+        What does not fit into one command is left to the next.
+        """
+        batch = OrderBatch()
+        stopped, others = self._by_intent(machine)
+        launched = self._add_orders(batch, stopped, -1, now)
+        launched += self._add_orders(batch, others, -1, now)
+        return batch.orders, launched
 
     def direct_result(self, machine: Machine, launched: list[Attempt], executed: bool | None, now: float) -> None:
         """Apply the outcome of a direct command.
--- a/pepperlatch/protocol/wire.py
+++ b/pepperlatch/protocol/wire.py
@@ -317,6 +317,17 @@
     return token if isinstance(token, int) else 0
 
 
+def answer_orders(answer: dict[str, Any]) -> list[dict[str, Any]]:
+    """The orders in the answer to a report; empty if it has none."""
+    orders = answer.get("orders")
+    return orders if isinstance(orders, list) else []
+
+
+def ordered_attempt(order: dict[str, Any]) -> tuple[object, object]:
+    """The task and the attempt number that an order is about."""
+    return order.get("piece"), order.get("try")
+
+
 def commands_body(token: int, session: int, orders: list[dict[str, Any]]) -> dict[str, Any]:
     """Body of a command to a worker, which executes it only in that session and unless it knows a higher token."""
     return {"baton": token, "tenure": session, "orders": orders}
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -33,6 +33,7 @@
 # Settings of the workers: their lease, how often they report, and how soon the tasks of a cancelled job must be gone.
 LEASE_S, REPORT_S, CANCEL_S = 12.0, 2.0, 30.0
 GANG_PEER_S = 3.0  # how long a task of a gang runs on while another one is missing
+MAX_MESSAGE_BYTES = 64 * 1024  # of a request's body, and of a line of a response to a worker or user
 Answer = tuple[int, Any]
 
 
@@ -554,7 +555,8 @@
     a task runs more than CANCEL_S after a user was told that its job is cancelled. `forgotten`: a controller does not
     know an accepted job, or calls it invalid. `not_done`: a job is called done before all its tasks are. `went_back`:
     a final state changed, or a job is called cancelled though no user asked for it. `orphaned`: a job still waits or
-    runs more than CANCEL_S after a user was told that a job which it needs is cancelled.
+    runs more than CANCEL_S after a user was told that a job which it needs is cancelled. `oversized`: a request's body
+    or a response to a worker or user is larger than MAX_MESSAGE_BYTES.
     """
 
     def __init__(self, world: "World") -> None:
@@ -596,6 +598,10 @@
             if len(self.done_tasks[need]) < self.world.jobs[need]["pieces"]:
                 self.violations.append(f"too_early {job_id}")
 
+    def on_oversized(self, message: str) -> None:
+        """Note a message beyond the protocol's limit, which its receiver has refused or dropped."""
+        self.violations.append(f"oversized {message}")
+
     def check_cancelled(self, job_id: str) -> None:
         if trio.current_time() - self.cancel_confirmed_at.get(job_id, 1e18) > CANCEL_S:
             self.violations.append(f"ran_cancelled {job_id}")
@@ -726,9 +732,13 @@
         await trio.sleep(self.link_delay_s(source, addr))
         name, host = self._host(addr)
         mode = self.link_faults.get((source, name))
-        body = orjson.loads(orjson.dumps(body)) if body is not None else None
+        encoded = orjson.dumps(body) if body is not None else b""
+        body = orjson.loads(encoded) if encoded else None
         if mode == "refuse":
             raise NotSent(addr)
+        if len(encoded) > MAX_MESSAGE_BYTES:
+            self.observer.on_oversized(f"request of {len(encoded)} bytes from {source} to {name}{path}")
+            return 400, {"error": "the body is larger than 64 KiB"}
         if mode == "hold" or (isinstance(host, Worker) and host.hung) or name in self.frozen:
             self.held_requests.append(
                 CapturedRequest((source, name), method, body, lambda: host.serve(source, method, path, body))
@@ -758,7 +768,11 @@
                 await trio.sleep(deadline)
             if mode == "lose_answers" or self.lose_answer(source, path, body):
                 raise NoUsableResponse(path)
-            return answer[0], (orjson.loads(orjson.dumps(answer[1])))
+            encoded = orjson.dumps(answer[1])
+            if len(encoded) > MAX_MESSAGE_BYTES and isinstance(host, _NodeHost) and not host.peer:
+                self.observer.on_oversized(f"response of {len(encoded)} bytes from {name}{path} to {source}")
+                raise NoUsableResponse(path)
+            return answer[0], orjson.loads(encoded)
         raise NoUsableResponse(path)
 
     def cut(self, one: str, other: str, mode: str, both: bool = True) -> None:
