A follower's statement of delegations fits into a request

What callers saw: nothing so far; found on the paths of the orders beyond 64 KiB. A statement with long names, or with many machines that were answered lately, exceeds 64 KiB (66,760 bytes for 1,200 machines with names of 34 characters). The leader refuses the follower's contact: no progress for users, no delegation.

Cause: the number of grants was bounded, not the bytes of the statement.

Change: a grant is taken only while all rows, held and released, fit into 60 KiB. No row may be left out, since the leader takes a missing machine for one that was not answered. Linear in the rows.

--- a/pepperlatch/constants/core.py
+++ b/pepperlatch/constants/core.py
@@ -147,8 +147,13 @@
 DELEGATION_SILENT_REPORTS: Final = 2.0  # report intervals
 DELEGATION_LATE_REPORTS: Final = 1.3  # report intervals; a report is late if a follower waits longer for it
 DELEGATION_MEMORY_LEASES: Final = 2.0  # worker leases; for this long a follower remembers which machines it answered
-# Machines that a follower may answer; its statement has to fit into a request's body.
-MAX_DELEGATED_MACHINES: Final = 1500
+MAX_DELEGATED_MACHINES: Final = 1500  # machines that a follower may answer
+MAX_STATEMENT_BYTES: Final = 60 * 1024  # bytes of a follower's statement, which has to fit into a request's body
+STATEMENT_ROW_BYTES: Final = (
+    18  # bytes of a statement's row besides name and numbers: an age of up to a day, punctuation
+)
+# Bytes of each of the two lists of machines in the leader's message to the other controllers.
+MAX_MACHINE_LIST_BYTES: Final = 28 * 1024
 # A contact waits this long for a busy leader, then it is answered without a delegation.
 DELEGATION_TIMEOUT_S: Final = 0.4  # s
 FORWARD_TIMEOUT_S: Final = 2.5  # s; below the 4 s after which the worker drops an answer
--- a/pepperlatch/controller/heartbeats/delegation.py
+++ b/pepperlatch/controller/heartbeats/delegation.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import orjson
+
 from pepperlatch.constants import core as c
 from pepperlatch.policy.delegation import DelegationAnswer, DelegationStatement, HeldGrant
 from pepperlatch.policy.model import split_task
@@ -41,6 +43,7 @@
         self._floor = 0  # grants up to this number are not installed any more
         self._held: dict[str, _HeldGrant] = {}  # by machine
         self._released: dict[str, float] = {}  # by machine without a grant: when this follower last answered it
+        self._statement_bytes = 0  # at most, of the rows for held and released grants in the next statement
         self._forwarded: dict[str, Report] = {}  # by machine: its newest heartbeat that is on the way to the leader
 
     # --- heartbeats -------------------------------------------------------------------------------
@@ -82,7 +85,10 @@
         del self._forwarded[report.machine]
         if number is None or token != self._token or number <= self._floor:
             return
-        if len(self._held) < c.MAX_DELEGATED_MACHINES:
+        row_bytes = _row_bytes(report.machine, number, report.session)
+        fits = self._statement_bytes + row_bytes <= c.MAX_STATEMENT_BYTES
+        if fits and len(self._held) < c.MAX_DELEGATED_MACHINES:
+            self._statement_bytes += row_bytes
             answered_at = self._released.pop(report.machine, -math.inf)
             self._held[report.machine] = _HeldGrant(number, report, now, answered_at)
 
@@ -111,6 +117,8 @@
             for name, grant in self._held.items()
         ]
         released = {name: _age(at, now) for name, at in self._released.items()}
+        self._statement_bytes = sum(_row_bytes(row.machine, row.number, row.session) for row in held)
+        self._statement_bytes += sum(_row_bytes(name) for name in released)
         return DelegationStatement(self._floor, _age(self._began_at, now), self._memory_s, held, released)
 
     def _begin(self, token: int) -> None:
@@ -138,6 +146,15 @@
         self._until = max(self._until, sent_at + answer.seconds * (1 - c.CLOCK_DRIFT))
 
 
+def _row_bytes(machine: str, number: int = 0, session: int = 0) -> int:
+    """The most bytes that a machine takes in a statement; without number and session if its grant is released.
+
+    A released grant takes no more than a held one, and none may be left out of a statement: the leader takes a machine
+    that is not in it for one that this follower has not answered lately.
+    """
+    return len(orjson.dumps(machine)) + len(f"{number}{session}") + c.STATEMENT_ROW_BYTES
+
+
 def _age(at: float, now: float) -> float:
     """Seconds since `at`; -1 if it is -inf, i.e. never."""
     return round(now - at, 3) if at > -math.inf else -1.0
--- a/tests/test_message_sizes.py
+++ b/tests/test_message_sizes.py
@@ -4,14 +4,28 @@
 from dataclasses import replace
 from typing import Any
 
+import msgspec
 import orjson
 import pytest
 import trio
+import trio.testing
 
 from pepperlatch.constants import core as c
+from pepperlatch.controller.contacts import PeerMessage
+from pepperlatch.controller.heartbeats.delegation import DelegatedAnswers
 from pepperlatch.protocol import report_size, wire
 from pepperlatch.protocol.order_batch import limit_answer
-from tests.fakes import CANCEL_S, CPU_PLATFORM, LEASE_S, MAX_MESSAGE_BYTES, FakeTask, World, job, run_scenario
+from tests.fakes import (
+    CANCEL_S,
+    CPU_PLATFORM,
+    LEASE_S,
+    MAX_MESSAGE_BYTES,
+    REPORT_S,
+    FakeTask,
+    World,
+    job,
+    run_scenario,
+)
 
 LARGE_MACHINES = replace(
     CPU_PLATFORM,
@@ -128,3 +142,23 @@
         world.observer.violations = [v for v in world.observer.violations if f"from {full.name}" not in v]
 
     run_scenario(scenario, platform=LARGE_MACHINES)
+
+
+def test_a_statement_of_delegations_fits_into_a_request_however_many_machines_a_follower_answered() -> None:
+    """Guards against statements beyond 64 KiB: the leader refused them, and the follower lost contact."""
+    follower = DelegatedAnswers(REPORT_S, LEASE_S, 0.0, lambda job_id: False)
+    follower.statement(7, 0.0)  # its first contact with this leader
+    for round_ in range(4):  # the grants of each round are released, and remembered, when the next one is stated
+        now = round_ * 2.5 * REPORT_S
+        for number in range(1200):
+            name = f"machine-with-a-long-name-{round_}-{number:06d}"
+            heartbeat = wire.Report(name, "10.1.0.1:1", "m8", "a", False, 3, 5, 7, [])
+            follower.on_forwarded(heartbeat)
+            follower.on_answered(heartbeat, 10**6 * (round_ + 1) + number, 7, now)
+            heartbeat = wire.Report(name, "10.1.0.1:1", "m8", "a", False, 3, 6, 7, [])
+            follower._until = now + 1.0
+            follower.try_answer(heartbeat, 7, now + 0.001)
+        statement = follower.statement(7, now + 0.1)
+        assert statement.held or statement.released
+        message = PeerMessage("perch-1", 7, images=8000, delegation=statement)
+        assert len(orjson.dumps(msgspec.to_builtins(message))) <= MAX_MESSAGE_BYTES
