The leader's lists of machines fit into its message

What callers saw: nothing so far; found on the paths of the orders beyond 64 KiB. A leader that reaches none of 6,000 machines names them all in one message of 87,696 bytes, which every controller refuses.

Cause: the list of machines to be forwarded was not bounded.

Change: each of the two lists takes at most 28 KiB. Machines to be forwarded are named in turn, message by message: every 0.7 s, while a follower remembers a name for 20 s. Linear in the machines named.

The new test fails on the sources before with those 87,696 bytes.

--- a/pepperlatch/controller/contacts.py
+++ b/pepperlatch/controller/contacts.py
@@ -6,9 +6,10 @@
 `heartbeats/handler.py`, delegated lease renewal). The leader also hands over from here if it cannot do its work.
 """
 
+import bisect
 import logging
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 import orjson
@@ -33,6 +34,7 @@
 
 log = logging.getLogger(__name__)
 IMAGES, DELEGATION = "images", "delegation"  # keys beside those of jobs in the answer; job ids all begin with run-
+T = TypeVar("T")
 PEER_CONTACT, PEER_REVOKE_RENEWAL = "/peer/contact", "/peer/bar"
 
 
@@ -58,6 +60,16 @@
         return None
 
 
+def first_that_fit(items: list[T], max_bytes: int) -> list[T]:
+    """The first of the items that take at most `max_bytes` bytes together in a message."""
+    left = max_bytes
+    for count, item in enumerate(items):
+        left -= len(orjson.dumps(msgspec.to_builtins(item))) + 1
+        if left < 0:
+            return items[:count]
+    return items
+
+
 class Contacts:
     """The exchange as both leader and follower do it.
 
@@ -83,6 +95,7 @@
         self._images_received = (0, 0)  # token of the leader, and number of the last image use received from it
         self._progress_cache: tuple[int, float, dict[str, Any]] = (0, float("-inf"), {})  # token, time made, rows
         self._peer_answered_at = float("-inf")
+        self._last_to_forward = ""  # the machine that ended the list in the leader's last message; "" if all were named
 
     def _find_peer(self, node: str) -> Peer | None:
         return next((peer for peer in self._settings.peers if peer.node == node), None)
@@ -222,11 +235,24 @@
     def _leader_message(self, leader: Leader) -> PeerMessage:
         """What the leader sends to all other controllers, unasked."""
         now, cluster = self._clock(), leader.cluster
+        cancelled = cluster.machines_with_cancelled_tasks(now)
         return PeerMessage(
-            self._settings.node, leader.term.token, relay=sorted(cluster.machines_needing_forwarding(now)),
-            cancelled=cluster.machines_with_cancelled_tasks(now), witnesses=cluster.latest_reporters(),
+            self._settings.node, leader.term.token, relay=self._next_to_forward(leader, now),
+            cancelled=first_that_fit(cancelled, c.MAX_MACHINE_LIST_BYTES), witnesses=cluster.latest_reporters(),
         )  # fmt: skip
 
+    def _next_to_forward(self, leader: Leader, now: float) -> list[str]:
+        """Machines whose reports the other controllers are to forward, as many as one message may name.
+
+        The next message goes on where this one ends. A follower forwards a machine's reports for FORWARD_PERIOD_S after
+        it was named, in which every machine's turn comes many times.
+        """
+        names = sorted(leader.cluster.machines_needing_forwarding(now))
+        start = bisect.bisect_right(names, self._last_to_forward)
+        chosen = first_that_fit([*names[start:], *names[:start]], c.MAX_MACHINE_LIST_BYTES)
+        self._last_to_forward = chosen[-1] if len(chosen) < len(names) else ""
+        return chosen
+
     async def _revoke_renewal(self, leader: Leader, peer: Peer, message: PeerMessage) -> None:
         """As the leader: have the peer stop renewing leases on its behalf, and record its acknowledgement.
 
--- a/tests/test_message_sizes.py
+++ b/tests/test_message_sizes.py
@@ -13,6 +13,7 @@
 from pepperlatch.constants import core as c
 from pepperlatch.controller.contacts import PeerMessage
 from pepperlatch.controller.heartbeats.delegation import DelegatedAnswers
+from pepperlatch.policy.model import Machine, Status
 from pepperlatch.protocol import report_size, wire
 from pepperlatch.protocol.order_batch import limit_answer
 from tests.fakes import (
@@ -162,3 +163,31 @@
         assert statement.held or statement.released
         message = PeerMessage("perch-1", 7, images=8000, delegation=statement)
         assert len(orjson.dumps(msgspec.to_builtins(message))) <= MAX_MESSAGE_BYTES
+
+
+def test_the_message_of_a_leader_that_reaches_no_worker_fits_and_names_every_machine_in_turn() -> None:
+    """Guards against a list of all machines beyond 64 KiB: no controller accepted the leader's messages any more."""
+
+    async def scenario(world: World) -> None:
+        node = world.nodes[world.leader()]
+        assert node.leader is not None
+        now = trio.current_time()
+        machines = {}
+        for number in range(6000):
+            name = f"n-{number:08d}"
+            machine = Machine(
+                name, next(iter(node.leader.cluster.types.values())), "a", False, "10.1.0.1:1", Status.UP, now
+            )
+            machine.forwarding_until, machine.cancelled_since = now + 1000.0, now
+            machines[name] = machine
+        before, node.leader.cluster.machines = node.leader.cluster.machines, machines
+        named: set[str] = set()
+        for _ in range(5):
+            message = node.contacts._leader_message(node.leader)
+            assert message.relay and message.cancelled
+            assert len(orjson.dumps(msgspec.to_builtins(message))) <= MAX_MESSAGE_BYTES
+            named |= set(message.relay)
+        assert named == set(machines)
+        node.leader.cluster.machines = before
+
+    run_scenario(scenario)
