A report of almost 64 KiB is forwarded without the frame of a batch

What callers saw: nothing so far; found on the paths of the orders beyond 64 KiB. A report of over 65,500 bytes exceeds the limit with the frame of a batch. The leader's refusal was taken for that of an earlier version, and for 30 s the follower sent all reports singly.

Change: a batch of one report that would exceed the limit is sent as a report by itself, which every version takes.

The new test fails on the sources before: the batch is sent first.

--- a/pepperlatch/controller/heartbeats/forwarding.py
+++ b/pepperlatch/controller/heartbeats/forwarding.py
@@ -118,6 +118,9 @@
         """Send reports in one request, or singly if the answer is not that of a version that takes batches."""
         addr = batch[0].addr
         body = {"beats": [item.plain for item in batch], "node": self._node}
+        if len(batch) == 1 and len(orjson.dumps(body)) > c.MAX_BODY_BYTES:  # a report of almost that size
+            await self._send_single(batch[0])
+            return
         try:
             status, answer = await self._network.request(addr, "POST", PEER_HEARTBEATS, body, c.FORWARD_TIMEOUT_S)
         except (NotSent, NoUsableResponse) as error:
--- a/tests/test_message_sizes.py
+++ b/tests/test_message_sizes.py
@@ -13,6 +13,7 @@
 from pepperlatch.constants import core as c
 from pepperlatch.controller.contacts import PeerMessage
 from pepperlatch.controller.heartbeats.delegation import DelegatedAnswers
+from pepperlatch.controller.heartbeats.forwarding import PEER_HEARTBEAT, PEER_HEARTBEATS, HeartbeatForwarder
 from pepperlatch.policy.model import Machine, Status
 from pepperlatch.protocol import report_size, wire
 from pepperlatch.protocol.order_batch import limit_answer
@@ -191,3 +192,30 @@
         node.leader.cluster.machines = before
 
     run_scenario(scenario)
+
+
+def test_a_report_of_almost_64_kib_is_forwarded_by_itself() -> None:
+    """Guards against a batch of one report that exceeds the limit by its frame, and then counts as an old leader."""
+    sent: list[tuple[str, int]] = []
+
+    class Leader:
+        async def request(
+            self, addr: str, method: str, path: str, body: Any = None, deadline_s: float = 2.0
+        ) -> tuple[int, Any]:
+            size = len(orjson.dumps(body))
+            sent.append((path, size))
+            if size > MAX_MESSAGE_BYTES:
+                return 400, {"error": "the body is larger than 64 KiB"}
+            return 200, {"answers": [{}] * len(body["beats"])} if path == PEER_HEARTBEATS else {}
+
+    async def main() -> None:
+        forwarder = HeartbeatForwarder(Leader(), "perch-9")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(forwarder.run)
+            for size in (MAX_MESSAGE_BYTES - 20, 100):
+                assert (await forwarder.forward("10.0.0.1:2", {"pieces": "x" * size}, 3.0))[0] == 200
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert [path for path, _ in sent] == [PEER_HEARTBEAT, PEER_HEARTBEATS]
+    assert max(size for _, size in sent) <= MAX_MESSAGE_BYTES
