--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -103,8 +103,7 @@
                 body = json.dumps(answer).encode()
                 writer.write(
                     f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}\r\nContent-Type: application/json\r\n"
-                    f"Content-Length: {len(body)}\r\n\r\n".encode()
-                    + body
+                    f"Content-Length: {len(body)}\r\n\r\n".encode() + body
                 )
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
@@ -243,9 +242,7 @@
         most, prefix, after = min(1000, int(query.get("page", 1000))), query["under"], query.get("after", "")
         if self.in_order is None:
             self.in_order = sorted(self.keys)
-        first = (
-            bisect.bisect_right(self.in_order, after) if after > prefix else bisect.bisect_left(self.in_order, prefix)
-        )
+        first = bisect.bisect_right(self.in_order, after) if after > prefix else bisect.bisect_left(self.in_order, prefix)
         pairs, size, truncated = [], 0, False
         for key in itertools.islice(self.in_order, first, None):
             if not key.startswith(prefix):
