Texts of a refusal are cut to 400 characters

What callers saw: nothing so far; found on the paths of the orders beyond 64 KiB. A submission of 65,536 bytes with a wrong value is answered with a line of 326,185 bytes, since the value is quoted and each character may take six bytes. Users drop such a line and repeat a submission that can never be accepted. The same for a worker's report.

Cause: errors of the decoder quote values of any length.

Change: Response cuts every text of an answer of status 400 or more.

The new test fails on the sources before (oversized response).

--- a/pepperlatch/constants/core.py
+++ b/pepperlatch/constants/core.py
@@ -13,6 +13,7 @@
 REPORT_HEADER_BYTES: Final = 2 * 1024  # bytes of a worker's report besides its tasks: names, address, numbers
 INTEGER_CHARS: Final = 20  # characters of the protocol's largest integer
 TASK_NUMBER_CHARS: Final = 5  # characters of the largest number of a task, below MAX_TASKS
+MAX_REFUSAL_CHARS: Final = 400  # characters of a text in a refusal; JSON may write each with 6 bytes
 # Time for which the rest of a refused request is read; closing the connection at once would destroy the answer.
 REFUSAL_DRAIN_S: Final = 1.0  # s
 REFUSAL_DRAIN_BYTES: Final = 1024 * 1024  # bytes; the most of a refused request that is read and dropped
--- a/pepperlatch/protocol/http/server.py
+++ b/pepperlatch/protocol/http/server.py
@@ -27,12 +27,28 @@
 
 @dataclass(slots=True)
 class Response:
-    """The answer to a request."""
+    """The answer to a request. Texts of a refusal are cut to MAX_REFUSAL_CHARS: they may quote the request."""
 
     status: int
     body: Any = None  # written as JSON; bytes as they are, with a Content-Type among the headers
     headers: dict[str, str] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        if self.status >= 400 and not isinstance(self.body, bytes):
+            self.body = _with_short_texts(self.body)
+
+
+def _with_short_texts(value: Any) -> Any:
+    """The JSON value with every text in it cut to MAX_REFUSAL_CHARS."""
+    match value:
+        case str():
+            return value[: c.MAX_REFUSAL_CHARS]
+        case list():
+            return [_with_short_texts(item) for item in value]
+        case dict():
+            return {name: _with_short_texts(item) for name, item in value.items()}
+    return value
+
 
 class _Refused(Exception):
     """A request that is answered without reading all of it; the connection is closed with the answer."""
--- a/tests/test_message_sizes.py
+++ b/tests/test_message_sizes.py
@@ -219,3 +219,19 @@
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     assert [path for path, _ in sent] == [PEER_HEARTBEAT, PEER_HEARTBEATS]
     assert max(size for _, size in sent) <= MAX_MESSAGE_BYTES
+
+
+def test_a_refusal_that_quotes_the_request_is_short() -> None:
+    """Guards against an answer with a line of 326 KB: a wrong value was quoted whole, each character as six bytes."""
+
+    async def scenario(world: World) -> None:
+        for field in ("urgency", "shape", "builds", "yard", "prereqs"):
+            text = "\x7f" * 63_000
+            value = [text] if field in ("builds", "prereqs") else text
+            status, answer = await world.ask(0, "POST", "/work", job(1, **{field: value}))
+            assert status in (400, 422), field
+            assert len(orjson.dumps(answer)) <= MAX_MESSAGE_BYTES and answer["error"], field
+        status, answer = await world.ask(0, "POST", "/agent/beat", {"pieces": [{"status": "\x7f" * 63_000}]})
+        assert status == 400 and len(orjson.dumps(answer)) <= MAX_MESSAGE_BYTES
+
+    run_scenario(scenario)
