A scale run reserves its ports

Cause: find_free_ports tested ports without reserving them; the processes of a run listen a second or more later.

Change: a run keeps a socket that listens on 127.0.5.1 with its port. Binding is atomic among processes, and the kernel frees the port when the run ends. That the port is free is tested as before.

--- a/pepperlatch/scale/addresses.py
+++ b/pepperlatch/scale/addresses.py
@@ -1,20 +1,27 @@
 """Where the parts of a run listen: each has its own loopback address, and the run has a pair of ports for itself."""
 
 import socket
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from pepperlatch.constants import scale as c
 
+STATE_HOST = "127.0.2.1"
+RESERVATION_HOST = "127.0.5.1"  # only for reservations: no part of a run listens there
+
 
 class NoPort(Exception):
-    """All ports from FIRST_PORT to LAST_PORT are in use."""
+    """All ports from FIRST_PORT to LAST_PORT are in use or reserved."""
 
 
 @dataclass(frozen=True, slots=True)
 class Addresses:
-    """The addresses (host:port) of a run. Machines differ by loopback address, so that thousands share one port."""
+    """The addresses (host:port) of a run. Machines differ by loopback address, so that thousands share one port.
+
+    `reservation`: a socket that reserves the ports for the run; None in the processes that are only told the port.
+    """
 
     port: int
+    reservation: socket.socket | None = field(default=None, repr=False, compare=False)
 
     def controller(self, index: int) -> str:
         """Where a controller serves users and workers."""
@@ -25,7 +32,7 @@
         return f"127.0.1.{index + 1}:{self.port + 1}"
 
     def state(self) -> str:
-        return f"127.0.2.1:{self.port}"
+        return f"{STATE_HOST}:{self.port}"
 
     def cloud(self) -> str:
         return f"127.0.2.2:{self.port}"
@@ -56,17 +63,39 @@
 
 
 def find_free_ports() -> Addresses:
-    """The first pair of ports whose first one is free now. Raises NoPort.
+    """The first pair of ports whose first one is free and that no other run has reserved. Raises NoPort.
 
-    Nothing reserves the ports until the processes of the run listen on them, so two runs that start together choose the
-    same ports. One or both of them then fail.
+    The pair is reserved for as long as the result exists: no process of the run listens yet, so another run that starts
+    now would find the same ports free.
     """
     for port in range(c.FIRST_PORT, c.LAST_PORT, c.PORT_STEP):
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind(("127.0.2.1", port))
-            except OSError:
-                continue
-        return Addresses(port)
+        reservation = _reserve(port)
+        if reservation is None:
+            continue
+        if _is_free(port):
+            return Addresses(port, reservation)
+        reservation.close()
     raise NoPort(f"no free port from {c.FIRST_PORT} to {c.LAST_PORT}")
+
+
+def _reserve(port: int) -> socket.socket | None:
+    """A socket that reserves the port for this run until it is closed; None if another run has reserved it."""
+    reservation = socket.socket()
+    try:
+        reservation.bind((RESERVATION_HOST, port))
+        reservation.listen()
+    except OSError:
+        reservation.close()
+        return None
+    return reservation
+
+
+def _is_free(port: int) -> bool:
+    """Whether no process listens on the port as a run does."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((STATE_HOST, port))
+        except OSError:
+            return False
+    return True
