The queue of an array's tasks takes one out without a walk

Cause: Cluster._adopt searched the queue of waiting tasks twice for each reported task, and _finished once for each that ended.

A task removed and queued again before its old place was reached costs one walk, which drops all such places. One byte a task more.

--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -8,7 +8,6 @@
 import heapq
 import logging
 import math
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -24,6 +23,7 @@
 from pepperlatch.policy.model import Attempt, Job, Machine, Phase, Status, split_task
 from pepperlatch.policy.quota import Quota, Usage
 from pepperlatch.policy.reasons import Reason
+from pepperlatch.policy.task_queue import TaskQueue
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.order_batch import Order, OrderBatch
 from pepperlatch.protocol.wire import Cause, JobSpec, Kind, MachineType, Report, TaskReport, TaskState
@@ -111,7 +111,7 @@
         """
         job = Job(spec, version, since, version <= self.token, set(done), set(done), over=over)
         if not over:
-            job.waiting = deque(task for task in range(spec.tasks) if task not in done)
+            job.waiting = TaskQueue(task for task in range(spec.tasks) if task not in done)
             if not job.waiting:
                 self.unsaved_jobs.add(spec.id)
         job.reason_since = since
@@ -555,8 +555,7 @@
             self.cancelled.task_reported(job.spec.id)
         attempt = Attempt(job, parts[1], task.attempt, machine, now, Phase.CONFIRMED)
         self._register(attempt)
-        if parts[1] in job.waiting:
-            job.waiting.remove(parts[1])
+        job.waiting.remove(parts[1])
         if job.over or parts[1] in job.done:  # for each task of the job, not only the first one that is reported
             self._stop_ended_job(attempt, now, cancelled=job.over)
         return attempt
@@ -589,9 +588,12 @@
         """
         if task >= job.spec.tasks or task in job.done or job.over:
             return
-        job.done.update(range(job.spec.tasks) if job.spec.kind is Kind.GANG else [task])
-        for number in [t for t in job.waiting if t in job.done]:
-            job.waiting.remove(number)
+        if job.spec.kind is Kind.GANG:
+            job.done.update(range(job.spec.tasks))
+            job.waiting.clear()
+        else:
+            job.done.add(task)
+            job.waiting.remove(task)
         other = job.live.get(task)
         if other is not None:
             self.stop(other, 0.0, "done already")
--- a/pepperlatch/policy/model.py
+++ b/pepperlatch/policy/model.py
@@ -4,7 +4,6 @@
 """
 
 import math
-from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -13,6 +12,7 @@
 from pepperlatch.constants.core import EMPTYING_SHARE, MIN_REASON_SHOWN_S
 from pepperlatch.constants.core import EPS as EPS
 from pepperlatch.policy.reasons import DEBOUNCED, PLACING, Reason
+from pepperlatch.policy.task_queue import TaskQueue
 from pepperlatch.protocol import report_size
 from pepperlatch.protocol.wire import PRIORITY_RANK, JobSpec, Kind, MachineType, TaskReport, TaskState
 
@@ -119,7 +119,7 @@
     done: set[int] = field(default_factory=set)  # finished tasks
     saved: set[int] = field(default_factory=set)  # finished tasks that the state service holds
     live: dict[int, Attempt] = field(default_factory=dict)  # by task: its attempt, from planning until proven gone
-    waiting: deque[int] = field(default_factory=deque)  # queue of the tasks to be placed
+    waiting: TaskQueue = field(default_factory=TaskQueue)  # the tasks to be placed
     failed_on: set[str] = field(default_factory=set)  # machines on which tasks ended with an error
     pause_s: float = 0.0  # current backoff after errors
     not_before: float = 0.0  # no task is placed before: a backoff ends then
--- a/pepperlatch/policy/planner.py
+++ b/pepperlatch/policy/planner.py
@@ -302,7 +302,7 @@
 
     def _drain_target(self, job: Job, candidates: Candidates, machines: list[Machine]) -> Machine | None:
         """The machine to which a drain moves the job's next task, if it still fits there."""
-        target = job.drain_targets.pop(job.waiting[0], None)
+        target = job.drain_targets.pop(job.waiting.first(), None)
         return target if target is not None and target in machines and candidates.fits(target) else None
 
     def _place_gang(self, job: Job, machines: list[Machine], now: float) -> None:
