A page of a pipeline run fits into a line

What callers saw: nothing so far; found on the paths of the orders beyond 64 KiB. GET /pipelines/NAME of a run with 220 steps, names of 59 characters and four needs a step: a line beyond 64 KiB, which its user drops, with every poll.

Cause: a page was bounded in steps (200), not in bytes.

The new test fails on the sources before (oversized response dropped).

--- a/pepperlatch/constants/pipelines.py
+++ b/pepperlatch/constants/pipelines.py
@@ -27,7 +27,8 @@
 MAX_CONCURRENT_RUN_READS: Final = 4  # reads of runs in flight, so that polls of runs leave room for those of jobs
 MAX_WAITING_RUN_READS: Final = 32  # further reads of runs that may wait; beyond that users are told to retry later
 MAX_CACHED_PLANS: Final = 32  # unpacked plans in memory, some 100 KB each at the largest
-STEPS_PER_PAGE: Final = 200  # steps in one answer, to keep it below 64 KiB
+STEPS_PER_PAGE: Final = 200  # steps in one answer
+MAX_PAGE_BYTES: Final = 60 * 1024  # bytes of the steps in one answer, a line of at most 64 KiB
 MAX_REASON_CHARS: Final = 300  # characters of a refusal that are recorded
 
 # --- schedules ------------------------------------------------------------------------------------
--- a/pepperlatch/controller/contacts.py
+++ b/pepperlatch/controller/contacts.py
@@ -9,7 +9,7 @@
 import bisect
 import logging
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import Any
 
 import msgspec
 import orjson
@@ -30,11 +30,11 @@
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.http.client import Network, NotSent, NoUsableResponse
 from pepperlatch.protocol.http.server import Response
+from pepperlatch.protocol.message_size import first_that_fit
 from pepperlatch.settings import Peer, Settings
 
 log = logging.getLogger(__name__)
 IMAGES, DELEGATION = "images", "delegation"  # keys beside those of jobs in the answer; job ids all begin with run-
-T = TypeVar("T")
 PEER_CONTACT, PEER_REVOKE_RENEWAL = "/peer/contact", "/peer/bar"
 
 
@@ -60,16 +60,6 @@
         return None
 
 
-def first_that_fit(items: list[T], max_bytes: int) -> list[T]:
-    """The first of the items that take at most `max_bytes` bytes together in a message."""
-    left = max_bytes
-    for count, item in enumerate(items):
-        left -= len(orjson.dumps(msgspec.to_builtins(item))) + 1
-        if left < 0:
-            return items[:count]
-    return items
-
-
 class Contacts:
     """The exchange as both leader and follower do it.
 
--- a/pepperlatch/pipelines/service.py
+++ b/pepperlatch/pipelines/service.py
@@ -28,6 +28,7 @@
 from pepperlatch.pipelines.schedule_service import ScheduleService
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.http.server import Request, Response
+from pepperlatch.protocol.message_size import first_that_fit
 from pepperlatch.protocol.state import NotExecuted, Outcome, OutcomeUnknown, Rejected
 
 log = logging.getLogger(__name__)
@@ -223,7 +224,10 @@
         return Response(422 if loaded.record.phase is Phase.REFUSED else 200, answer)
 
     async def _show_run(self, run_name: str, after: str) -> Response:
-        """One page of a run's steps; `after` is the number of the first step, as the page before gave it in `next`."""
+        """One page of a run's steps, as many as a line may hold.
+
+        `after` is the number of the first step, as the page before gave it in `next`.
+        """
         loaded = await self._load_run(run_name)
         if loaded is None:
             return Response(404, {"error": "no such run"})
@@ -231,6 +235,7 @@
         names = list(loaded.specs)
         begin = int(after) if after.isdigit() else 0
         rows = [self._step_row(loaded, name) for name in names[begin : begin + c.STEPS_PER_PAGE]]
+        rows = first_that_fit(rows, c.MAX_PAGE_BYTES)
         answer: dict[str, Any] = {
             "run": run_name,
             "status": self._run_status(loaded),
@@ -240,8 +245,8 @@
             answer["reason"] = loaded.record.reason
         answer["total"] = len(names)
         answer["rows"] = rows
-        if begin + c.STEPS_PER_PAGE < len(names):
-            answer["next"] = begin + c.STEPS_PER_PAGE
+        if begin + len(rows) < len(names):
+            answer["next"] = begin + len(rows)
         return Response(200, answer)
 
     def _step_row(self, loaded: LoadedRun, name: str) -> dict[str, Any]:
--- a/tests/pipelines/test_runs.py
+++ b/tests/pipelines/test_runs.py
@@ -4,13 +4,14 @@
 from typing import Any
 
 import msgspec
+import orjson
 import trio
 
 from pepperlatch.controller import store
 from pepperlatch.pipelines import plan as plans
 from pepperlatch.pipelines.plan import Plan
 from pepperlatch.protocol.http.client import NotSent, NoUsableResponse
-from tests.fakes import World, job, run_scenario
+from tests.fakes import MAX_MESSAGE_BYTES, World, job, run_scenario
 from tests.pipelines.helpers import (
     EXTENSIONS,
     chain_plan,
@@ -389,3 +390,24 @@
         assert set(stored_job_ids(world)) in [set(named.values()) for named in ids]
 
     run_scenario(scenario, extensions=EXTENSIONS)
+
+
+def test_every_page_of_a_run_fits_into_a_line_and_all_pages_have_every_step() -> None:
+    """Guards against 200 steps in one answer, which has over 64 KiB if names and reasons are long."""
+
+    async def scenario(world: World) -> None:
+        long = [f"step-{n:03d}-" + "x" * 51 for n in range(220)]
+        steps = [step(name, *long[max(0, n - 4) : n], bundle=f"img-{n}") for n, name in enumerate(long)]
+        plan = Plan("p" * 60, steps, "k" * 60)
+        register_jobs(world, plan)
+        assert (await put_with_retries(world, plan, seconds=120))[0] == 200
+        shown: list[str] = []
+        after = ""
+        while len(shown) < len(long):
+            status, answer = await world.ask(0, "GET", f"/pipelines/{plan.run_name}?after={after}")
+            assert status == 200 and answer["rows"] and len(orjson.dumps(answer)) <= MAX_MESSAGE_BYTES
+            shown += [row["step"] for row in answer["rows"]]
+            after = answer.get("next", "")
+        assert shown == long
+
+    run_scenario(scenario, extensions=EXTENSIONS)
