Room is compared without objects for each pair of task and machine

Cause: with the bytes of reports, Machine.has_room calls a function, and with_room_for_smallest and the reserve make a Size for each machine.

Change: has_room adds a constant and a length; the list of machines with room compares numbers; the reserve keeps the size of its slot; slots divides without an iterator. What is decided is the same.

--- a/pepperlatch/policy/model.py
+++ b/pepperlatch/policy/model.py
@@ -61,7 +61,14 @@
 
     def slots(self, task: "Size") -> int:
         """How many tasks of that size fit."""
-        return max(0, min(int((free + EPS) // need) for free, need in zip(self, task, strict=True) if need > 0))
+        found = int((self.report_bytes + EPS) // task.report_bytes)
+        if task.cpus > 0:
+            found = min(found, int((self.cpus + EPS) // task.cpus))
+        if task.gpus > 0:
+            found = min(found, int((self.gpus + EPS) // task.gpus))
+        if task.memory_gb > 0:
+            found = min(found, int((self.memory_gb + EPS) // task.memory_gb))
+        return max(0, found)
 
 
 def task_size(spec: JobSpec) -> Size:
@@ -71,8 +78,13 @@
 
 def smallest_size(specs: Iterable[JobSpec]) -> Size:
     """The smallest amount of each resource that a task of any of the jobs needs; all 0 if there are none."""
-    sizes = [task_size(spec) for spec in specs]
-    return Size(*map(min, zip(*sizes, strict=True))) if sizes else Size(0.0, 0.0, 0.0, 0.0)
+    specs = list(specs)
+    return Size(
+        min((spec.cpus for spec in specs), default=0.0),
+        min((spec.gpus for spec in specs), default=0.0),
+        min((spec.memory_gb for spec in specs), default=0.0),
+        min((report_size.task_bytes(spec) for spec in specs), default=0.0),
+    )
 
 
 def machine_size(kind: MachineType) -> Size:
@@ -245,7 +257,7 @@
         return (
             self.free_cpus >= tasks * spec.cpus - EPS and self.free_gpus >= tasks * spec.gpus - EPS
             and self.free_gb >= tasks * spec.memory_gb - EPS
-            and self.free_report_bytes >= tasks * report_size.task_bytes(spec)
+            and self.free_report_bytes >= tasks * (report_size.TASK_BYTES_BESIDE_ID + len(spec.id))
         )  # fmt: skip
 
     def list_ended(self, tasks: dict[tuple[str, int], TaskReport]) -> None:
--- a/pepperlatch/policy/placement.py
+++ b/pepperlatch/policy/placement.py
@@ -198,8 +198,11 @@
 
     In a full cluster few machines are left to examine.
     """
-    least = smallest_size(specs)
-    return [m for m in machines if m.free_size().holds(least)]
+    cpus, gpus, gb, report_bytes = (least - EPS for least in smallest_size(specs))
+    return [
+        m for m in machines
+        if m.free_cpus >= cpus and m.free_gpus >= gpus and m.free_gb >= gb and m.free_report_bytes >= report_bytes
+    ]  # fmt: skip
 
 
 def choose_zone(job: Job, machines: list[Machine], zones: Iterable[str]) -> str | None:
--- a/pepperlatch/policy/supply.py
+++ b/pepperlatch/policy/supply.py
@@ -11,11 +11,12 @@
 
 from pepperlatch.constants import core as c
 from pepperlatch.policy.fleet import Demand
-from pepperlatch.policy.model import EPS, Attempt, Job, Machine, allowed_on, task_size
+from pepperlatch.policy.model import EPS, Attempt, Job, Machine, Size, allowed_on, task_size
 from pepperlatch.protocol import report_size
 from pepperlatch.protocol.wire import JobSpec, Kind
 from pepperlatch.settings import Objective
 
+_NO_SLOT = Size(0.0, 0.0, 0.0, 0.0)
 BY_FREE_TIME = attrgetter("free_in_s")
 
 
@@ -123,6 +124,7 @@
     spec: JobSpec | None = None  # the largest replica of all services, as a job of its own
     wanted_slots: int = 0
     typical_service_slots: int = 0  # replicas of the median service
+    _slot_size: Size = _NO_SLOT  # of a replica like `spec`
     _required_fetch_rate: dict[str, float] = field(default_factory=dict)  # image -> GB/s that is fast enough
     _slots: dict[Machine, int] = field(default_factory=dict)
     _total_slots: int = 0
@@ -148,6 +150,7 @@
             if largest is None
             else msgspec.structs.replace(largest, id="", one_zone=False, spread=False, tasks=most_replicas, spot=False)
         )
+        self._slot_size = task_size(self.spec) if self.spec is not None else _NO_SLOT
         self.wanted_slots = math.ceil(jobs * most_replicas)
         self.typical_service_slots = (
             min(self.wanted_slots, int(statistics.median(s.tasks for s in replicas))) if replicas else 0
@@ -169,7 +172,7 @@
         free = machine.free_size()
         if taken is not None:
             free = free.plus(task_size(taken), -1)
-        return free.slots(task_size(self.spec))
+        return free.slots(self._slot_size)
 
     def free_slots(self, image: str | None = None) -> int:
         """Free replica slots in all, or where the slow image is."""
--- a/pepperlatch/protocol/report_size.py
+++ b/pepperlatch/protocol/report_size.py
@@ -23,7 +23,7 @@
 
 
 _FIXED_BYTES = _fixed_bytes()
-_MAX_BYTES_BESIDE_JOB_ID = (
+TASK_BYTES_BESIDE_ID = (  # the most bytes of one task without the id of its job
     _FIXED_BYTES
     + len("/")
     + c.TASK_NUMBER_CHARS
@@ -35,7 +35,7 @@
 
 def task_bytes(spec: JobSpec) -> int:
     """The most bytes that one task of the job takes in a report, in any state. Ids are ASCII."""
-    return _MAX_BYTES_BESIDE_JOB_ID + len(spec.id)
+    return TASK_BYTES_BESIDE_ID + len(spec.id)
 
 
 def reported_bytes(task: TaskReport) -> int:
