--- a/review/common-2/standin.py
+++ b/review/common-2/standin.py
@@ -43,11 +43,31 @@
     return line.decode("latin-1").split(), headers, body
 
 
+async def connected(writer, gates):
+    """Whether a connection that was opened while a gate was closed is made after all.
+
+    Its first packet is lost then, and sent again 1, 3 and 7 s later; a client that has given up by then never connects.
+    """
+    if all(gate.is_set() for gate in gates):
+        return True
+    opened = time.monotonic()
+    for after in (1.0, 3.0, 7.0):
+        while time.monotonic() < opened + after:
+            await asyncio.sleep(0.02)
+            if writer.transport.is_closing():
+                return False
+        if all(gate.is_set() for gate in gates):
+            return True
+    return False
+
+
 class Server:
     """An HTTP server on a port of its own; `handler(method, path, body)` returns status and JSON value, or DROP."""
 
-    def __init__(self, handler):
+    def __init__(self, handler, sender_of=None, gates=None):
         self.handler = handler
+        self.sender_of = sender_of  # names the sender of a connection by its port; it is then the handler's last argument
+        self.gates = gates or {}  # by sender: closed while it is cut off
         self.port = 0
         self._server = None
         self._writers = set()
@@ -63,10 +83,13 @@
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
+        sender = () if self.sender_of is None else (self.sender_of(writer.get_extra_info("peername")[1]),)
         try:
+            if not await connected(writer, [self.gates[name] for name in sender if name in self.gates]):
+                return
             while (message := await read_message(reader)) is not None:
                 (method, path, *_), headers, body = message
-                status, value = await self.handler(method, path, body)
+                status, value = await self.handler(method, path, body, *sender)
                 if status == 0:
                     return
                 payload = json.dumps(value).encode()
@@ -125,10 +148,15 @@
 
 
 class Proxy:
-    """A TCP link to `target`. `refuse()` ends its connections and refuses new ones until `allow()`."""
+    """A TCP link to `target`. `refuse()` ends its connections and refuses new ones until `allow()`.
 
-    def __init__(self, target):
+    While `gates` of the hosts at its ends are closed, what is sent is held, and delivered in order afterwards.
+    """
+
+    def __init__(self, target, gates=()):
         self.target = target
+        self.gates = gates
+        self.tried = {}  # by the path of its first request: when a connection was last opened
         self.port = 0
         self._server = None
         self._writers = set()
@@ -156,7 +184,14 @@
     async def _serve(self, reader, writer):
         host, _, port = self.target.rpartition(":")
         try:
+            opened, first = time.monotonic(), await reader.read(65536)
+            path = first.split(b" ", 2)[1].decode("latin-1") if first.count(b" ") > 1 else ""
+            self.tried[path] = opened
+            if not first or not await connected(writer, self.gates):
+                writer.transport.abort()
+                return
             far_reader, far_writer = await asyncio.open_connection(host, int(port))
+            far_writer.write(first)
         except OSError:
             writer.transport.abort()
             return
@@ -167,6 +202,8 @@
     async def _pump(self, reader, writer):
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
+                for gate in self.gates:
+                    await gate.wait()
                 writer.write(data)
                 await writer.drain()
         with contextlib.suppress(Exception):
@@ -336,12 +373,12 @@
         self.tasks, self.images = {}, {}
         self.rented_at = time.monotonic()
         self.lease_from = self.rented_at
-        self.up = self.gone = self.hung = self.sick = False
+        self.up = self.gone = self.hung = self.stopped = self.sick = False
         self.wake = asyncio.Event()
-        self.server = Server(self.serve)
+        self.server = Server(self.serve, self.sender, world.gates)
         self.notice_at = None
         self.job = None
-        self.links = list(world.user_addrs)  # addresses of the controllers as this worker knows them
+        self.links = [link.addr for link in world.worker_links]  # the controllers as this worker reaches them
 
     async def boot(self, seconds):
         await asyncio.sleep(seconds)
@@ -379,7 +416,7 @@
         }  # fmt: skip
 
     async def while_hung(self):
-        while self.hung:
+        while self.hung and not self.gone:
             await asyncio.sleep(0.02)
         self.check_lease()
 
@@ -393,8 +430,30 @@
             self.lease_from = time.monotonic()
             self.wake.set()
 
-    async def serve(self, method, path, body):
+    def stop(self):
+        """The machine stops with all that is on it: from now on it says nothing. The cloud still lists it."""
+        for task in self.tasks.values():
+            self.off(task, "machine stopped")
+        self.tasks.clear()
+        self.hung = self.stopped = True
+
+    def sender(self, port):
+        name = self.world.controller_at(port)
+        self.world.on_connection(self, name)
+        return name
+
+    async def serve(self, method, path, body, sender):
+        if sender is not None:
+            await self.world.gates[sender].wait()
         await self.while_hung()
+        if self.gone:
+            return DROP
+        status, answer = self.answer(path, body)
+        if sender is not None:
+            await self.world.gates[sender].wait()
+        return status, answer
+
+    def answer(self, path, body):
         if path == "/inspect":
             return 200, self.report()
         message = json.loads(body)
@@ -485,6 +544,8 @@
         client = None
         while not self.gone:
             await self.while_hung()
+            if self.gone:
+                return
             self.wake.clear()
             if client is None:
                 client = Client(self.links[index])
@@ -681,6 +742,9 @@
     def run_s(self, job):
         return job["expected_s"]
 
+    def on_connection(self, worker, sender):
+        """Called when a controller opens a connection to a worker; `sender` is its name, None if it is not known."""
+
     def on_rented(self, machine):
         """Called with each machine that is rented, before it is up."""
 
@@ -711,12 +775,17 @@
         self.peer_addrs = [f"{HOST}:{port}" for port in ports[count:]]
         self.cloud = Cloud(self, self.kinds, self.capacity, self.boot_s, self.cloud_limits["list_lag_s"])
         self.links = {}
+        self.gates = {name: asyncio.Event() for name in self.node_names}  # closed while the controller is cut off
+        for gate in self.gates.values():
+            gate.set()
+        gates = list(self.gates.values())
+        self.worker_links = [await Proxy(addr, [gates[n]]).start() for n, addr in enumerate(self.user_addrs)]
         for i, name in enumerate(self.node_names):
-            state = await Server(lambda *a, node=name: self.state.serve(node, *a)).start()
-            cloud = await Server(lambda *a, node=name: self.cloud.serve(node, *a)).start()
+            state = await Server(lambda *a, node=name: self.gated(node, self.state.serve, *a)).start()
+            cloud = await Server(lambda *a, node=name: self.gated(node, self.cloud.serve, *a)).start()
             for j in range(count):
                 if i != j:
-                    self.links[(i, j)] = await Proxy(self.peer_addrs[j]).start()
+                    self.links[(i, j)] = await Proxy(self.peer_addrs[j], [gates[i], gates[j]]).start()
             self.controllers.append(Controller(self, name, self.settings(i, state.addr, cloud.addr)))
         loop = asyncio.get_running_loop()
         self.background += [loop.create_task(self.state.run()), loop.create_task(self.cloud.run())]
@@ -727,6 +796,37 @@
         await self.until(lambda: self.state.leader() is not None, 15, "a controller leads")
         self.note(f"{self.state.leader()} leads")
 
+    async def gated(self, node, serve, *request):
+        """Serve a request of a controller. While it is cut off, its requests and the answers to them are held."""
+        await self.gates[node].wait()
+        answer = await serve(node, *request)
+        await self.gates[node].wait()
+        return answer
+
+    def cut_off(self, node):
+        """The controller loses the network: packets from and to it are held until `join`."""
+        self.note(f"controller {node} loses the network")
+        self.gates[node].clear()
+
+    def join(self, node):
+        self.note(f"controller {node} has the network again")
+        self.gates[node].set()
+
+    def controller_at(self, port):
+        """The controller whose process holds the client's end of a connection from this port; None if it is not known."""
+        inode = None
+        for row in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            fields = row.split()
+            if int(fields[1].rpartition(":")[2], 16) == port:
+                inode = fields[9]
+        for controller in self.controllers:
+            with contextlib.suppress(OSError):
+                for held in Path(f"/proc/{controller.process.pid}/fd").iterdir():
+                    with contextlib.suppress(OSError):
+                        if os.readlink(held) == f"socket:[{inode}]":
+                            return controller.name
+        return None
+
     def settings(self, i, state, cloud):
         def table(name, values):
             rows = "".join(f"{key} = {json.dumps(value)}\n" for key, value in values.items())
