--- a/review/7/play_cut.py
+++ b/review/7/play_cut.py
@@ -41,7 +41,7 @@
 
     def on_connection(worker, sender):
         # While it is cut off, the follower tries two machines that the leader heard of, to know whether it reaches any.
-        if sender == follower.name and worker is not victim and not world.gates[sender].is_set():
+        if sender == follower.name and worker is not victim and world.is_cut_off(sender):
             world.note(f"{sender} tries {worker.name}, which it cannot reach")
             asked.append(time.monotonic())
 
@@ -57,7 +57,7 @@
             await asyncio.sleep(0.02)
             if asked and time.monotonic() - asked[-1] < 0.1 and 0.15 < link.tried.get("/peer/bar", 0.0) + 1.5 - asked[-1] < 0.65:
                 break
-        world.join(follower.name)
+        world.join()
         world.note(f"the cut lasted {time.monotonic() - cut_at:.1f} s; the cancellation is {time.monotonic() - cancelled_at:.1f} s old")
     await asyncio.sleep(6.0)
     for controller in world.controllers:
--- a/review/common-2/standin.py
+++ b/review/common-2/standin.py
@@ -64,10 +64,10 @@
 class Server:
     """An HTTP server on a port of its own; `handler(method, path, body)` returns status and JSON value, or DROP."""
 
-    def __init__(self, handler, sender_of=None, gates=None):
+    def __init__(self, handler, sender_of=None, gate_of=None):
         self.handler = handler
         self.sender_of = sender_of  # names the sender of a connection by its port; it is then the handler's last argument
-        self.gates = gates or {}  # by sender: closed while it is cut off
+        self.gate_of = gate_of  # the gate on the way to a sender: closed while packets are held
         self.port = 0
         self._server = None
         self._writers = set()
@@ -85,7 +85,9 @@
         self._writers.add(writer)
         sender = () if self.sender_of is None else (self.sender_of(writer.get_extra_info("peername")[1]),)
         try:
-            if not await connected(writer, [self.gates[name] for name in sender if name in self.gates]):
+            if sender == (None,):  # its process has closed its end already
+                return
+            if not await connected(writer, [self.gate_of(name) for name in sender]):
                 return
             while (message := await read_message(reader)) is not None:
                 (method, path, *_), headers, body = message
@@ -157,6 +159,7 @@
         self.target = target
         self.gates = gates
         self.tried = {}  # by the path of its first request: when a connection was last opened
+        self.sent = {}  # by path: when a request was last sent
         self.port = 0
         self._server = None
         self._writers = set()
@@ -192,16 +195,19 @@
                 return
             far_reader, far_writer = await asyncio.open_connection(host, int(port))
             far_writer.write(first)
+            self.sent[path] = time.monotonic()
         except OSError:
             writer.transport.abort()
             return
         self._writers |= {writer, far_writer}
-        await asyncio.gather(self._pump(reader, far_writer), self._pump(far_reader, writer))
+        await asyncio.gather(self._pump(reader, far_writer, self.sent), self._pump(far_reader, writer, {}))
         self._writers -= {writer, far_writer}
 
-    async def _pump(self, reader, writer):
+    async def _pump(self, reader, writer, sent):
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
+                if data.startswith((b"POST ", b"GET ")):
+                    sent[data.split(b" ", 2)[1].decode("latin-1")] = time.monotonic()
                 for gate in self.gates:
                     await gate.wait()
                 writer.write(data)
@@ -375,10 +381,10 @@
         self.lease_from = self.rented_at
         self.up = self.gone = self.hung = self.stopped = self.sick = False
         self.wake = asyncio.Event()
-        self.server = Server(self.serve, self.sender, world.gates)
+        self.server = Server(self.serve, self.sender, lambda sender: world.gate(sender, zone))
         self.notice_at = None
         self.job = None
-        self.links = [link.addr for link in world.worker_links]  # the controllers as this worker reaches them
+        self.links = [link.addr for link in world.worker_links[zone]]  # the controllers as this worker reaches them
 
     async def boot(self, seconds):
         await asyncio.sleep(seconds)
@@ -444,13 +450,13 @@
 
     async def serve(self, method, path, body, sender):
         if sender is not None:
-            await self.world.gates[sender].wait()
+            await self.world.gate(sender, self.zone).wait()
         await self.while_hung()
         if self.gone:
             return DROP
         status, answer = self.answer(path, body)
         if sender is not None:
-            await self.world.gates[sender].wait()
+            await self.world.gate(sender, self.zone).wait()
         return status, answer
 
     def answer(self, path, body):
@@ -721,6 +727,7 @@
         self.cancelled_at = {}  # job -> when its user was told
         self.starts = defaultdict(list)  # job -> (time, task, machine)
         self.sick_after_s = 2.0
+        self.gates = {}
         self.controllers = []
         self.background = []
         self.folder = Path(tempfile.mkdtemp(prefix="pepperlatch-case-"))
@@ -743,7 +750,7 @@
         return job["expected_s"]
 
     def on_connection(self, worker, sender):
-        """Called when a controller opens a connection to a worker; `sender` is its name, None if it is not known."""
+        """Called when a controller opens a connection to a worker; `sender` is its name, None if it has closed it."""
 
     def on_rented(self, machine):
         """Called with each machine that is rented, before it is up."""
@@ -775,17 +782,16 @@
         self.peer_addrs = [f"{HOST}:{port}" for port in ports[count:]]
         self.cloud = Cloud(self, self.kinds, self.capacity, self.boot_s, self.cloud_limits["list_lag_s"])
         self.links = {}
-        self.gates = {name: asyncio.Event() for name in self.node_names}  # closed while the controller is cut off
-        for gate in self.gates.values():
-            gate.set()
-        gates = list(self.gates.values())
-        self.worker_links = [await Proxy(addr, [gates[n]]).start() for n, addr in enumerate(self.user_addrs)]
+        self.worker_links = {
+            zone: [await Proxy(addr, [self.gate(self.node_names[n], zone)]).start() for n, addr in enumerate(self.user_addrs)]
+            for zone in self.zones
+        }
         for i, name in enumerate(self.node_names):
-            state = await Server(lambda *a, node=name: self.gated(node, self.state.serve, *a)).start()
-            cloud = await Server(lambda *a, node=name: self.gated(node, self.cloud.serve, *a)).start()
+            state = await Server(lambda *a, node=name: self.gated(node, "state", self.state.serve, *a)).start()
+            cloud = await Server(lambda *a, node=name: self.gated(node, "cloud", self.cloud.serve, *a)).start()
             for j in range(count):
                 if i != j:
-                    self.links[(i, j)] = await Proxy(self.peer_addrs[j], [gates[i], gates[j]]).start()
+                    self.links[(i, j)] = await Proxy(self.peer_addrs[j], [self.gate(name, self.node_names[j])]).start()
             self.controllers.append(Controller(self, name, self.settings(i, state.addr, cloud.addr)))
         loop = asyncio.get_running_loop()
         self.background += [loop.create_task(self.state.run()), loop.create_task(self.cloud.run())]
@@ -796,28 +802,53 @@
         await self.until(lambda: self.state.leader() is not None, 15, "a controller leads")
         self.note(f"{self.state.leader()} leads")
 
-    async def gated(self, node, serve, *request):
+    def gate(self, node, other):
+        """Closed while packets between a controller and `other` are held: a controller, "state", "cloud", or the
+        machines of a zone."""
+        pair = tuple(sorted((node, other)))
+        if pair not in self.gates:
+            self.gates[pair] = asyncio.Event()
+            self.gates[pair].set()
+        return self.gates[pair]
+
+    async def gated(self, node, other, serve, *request):
         """Serve a request of a controller. While it is cut off, its requests and the answers to them are held."""
-        await self.gates[node].wait()
+        await self.gate(node, other).wait()
         answer = await serve(node, *request)
-        await self.gates[node].wait()
+        await self.gate(node, other).wait()
         return answer
 
     def cut_off(self, node):
         """The controller loses the network: packets from and to it are held until `join`."""
         self.note(f"controller {node} loses the network")
-        self.gates[node].clear()
-
-    def join(self, node):
-        self.note(f"controller {node} has the network again")
-        self.gates[node].set()
+        for other in ("state", "cloud", *self.zones, *self.node_names):
+            self.gate(node, other).clear()
+
+    def cut_zone(self, zone):
+        """The zone is cut off from everything else: packets over its border are held until `join`."""
+        self.note(f"zone {zone} is cut off")
+        inside = [name for name, own in zip(self.node_names, self.node_zones, strict=True) if own == zone]
+        for name in self.node_names:
+            others = ["state", "cloud", *self.zones, *self.node_names] if name in inside else [zone]
+            for other in others:
+                if name not in inside or (other != zone and other not in inside):
+                    self.gate(name, other).clear()
+
+    def is_cut_off(self, node):
+        return not self.gate(node, "state").is_set()
+
+    def join(self):
+        """Whatever was cut off has the network again."""
+        self.note("all cuts end")
+        for gate in self.gates.values():
+            gate.set()
 
     def controller_at(self, port):
         """The controller whose process holds the client's end of a connection from this port; None if it is not known."""
         inode = None
         for row in Path("/proc/net/tcp").read_text().splitlines()[1:]:
             fields = row.split()
-            if int(fields[1].rpartition(":")[2], 16) == port:
+            if int(fields[1].rpartition(":")[2], 16) == port and fields[9] != "0":
                 inode = fields[9]
         for controller in self.controllers:
             with contextlib.suppress(OSError):
