A session is over only before a later leader can have answered it

A controller is elected, shows its token to all machines, and its zone is cut off before any other controller was in contact with it. One lease after its own last answer it takes the machines outside for lost and starts their tasks again, while they run on under its successor.

Cause: Cluster.lease_over reckoned with the leader itself, followers, delegates and earlier leaders, but not with later ones. Delegates, which count for lease_extension_s, hid that as long as there was one; all() of none is true.

Change: a session's end by the clock has to lie before a moment up to which no later leader can have answered anybody: the end of the leader's lease, the sending of a read that showed the key, or of attestations in which every other controller knew this term as the latest. The last asks for more than attestations of cancellations do: a controller that was elected and began anew since knows no leader, and its word proves nothing here.

A log line now tells tasks that are kept because a later leader may exist from those of a lease that is not over; before, no line could distinguish the two.

What it costs: nothing is sent or stored. With no proof, lost tasks start again later, never twice.

tests/cuts/test_sessions.py: its clusters state the new proof that they took for granted; no assertion changes.

--- a/pepperlatch/controller/attestation.py
+++ b/pepperlatch/controller/attestation.py
@@ -147,6 +147,8 @@
             term.over = True
         elif len(attestations) == len(self._peers) and all(attestation.whole for attestation in attestations):
             term.attested_at = max(term.attested_at, sent)
+            if all(attestation.token == term.token for attestation in attestations):
+                term.attested_latest_at = max(term.attested_latest_at, sent)
 
     async def notify_leader(self, job_id: str, record: store.JobRecord, version: int) -> None:
         """Notify the leader of a confirmed cancellation before the user is answered, so that it starts no such task.
--- a/pepperlatch/controller/leader.py
+++ b/pepperlatch/controller/leader.py
@@ -344,6 +344,7 @@
         lease_valid, may_answer = self.term.lease_valid(now), self.term.may_answer(now)
         if now - self._housekeeping_at >= c.TICK_S:
             self._housekeeping_at = now
+            self.cluster.no_successor_before = self.term.no_successor_before()
             self.cluster.expire(now)
             self._health.check(now, lease_valid)
         if (self.cluster.dirty or self.planner.unfinished) and may_answer and now >= self._plan_not_before:
--- a/pepperlatch/controller/leadership.py
+++ b/pepperlatch/controller/leadership.py
@@ -23,12 +23,12 @@
 
 @dataclass(slots=True)
 class Term:
-    """One term of leading, with the two proofs on which a leader's actions rest.
+    """One term of leading, with the proofs on which a leader's actions rest.
 
     Authority: the lease of this token was alive. `lease_confirmed_at` is when the latest renewal that was confirmed was
     sent. Currency: this node's copy held all that was confirmed before a point in time, the leader's key included
     (`Replica.current_at`). A renewal of the lease says nothing about the copy: answers of the watch may be lost or slow
-    while renewals are answered.
+    while renewals are answered. Succession: no later leader had answered a worker (`no_successor_before`).
     """
 
     token: int
@@ -39,13 +39,25 @@
     over: bool = False  # set once and for all; everything that runs for the term then stops
     lease_confirmed_since: float = -math.inf  # confirmed renewals have had no gap since then
     attested_at: float = -math.inf  # when attestations were requested that made the copy as current as a read
+    # When attestations were requested in which all other controllers knew this term as the latest.
+    attested_latest_at: float = -math.inf
+
+    def _lease_ends_at(self) -> float:
+        """Return until when the lease, and with it this term's leader key, surely lasts."""
+        return self.lease_confirmed_at + c.LEADER_LEASE_MS / 1000 * (1 - c.CLOCK_DRIFT) - c.LEADER_LEASE_MARGIN_S
 
     def lease_valid(self, now: float) -> bool:
         """Return whether the lease cannot have ended yet, so that actions that cannot be undone are allowed."""
-        return (
-            not self.over
-            and now - self.lease_confirmed_at < c.LEADER_LEASE_MS / 1000 * (1 - c.CLOCK_DRIFT) - c.LEADER_LEASE_MARGIN_S
-        )
+        return not self.over and now < self._lease_ends_at()
+
+    def no_successor_before(self) -> float:
+        """Return a time before which no later leader has answered a worker or renewed a worker's lease.
+
+        A later leader is elected only once this term's key is gone. The key lasts as long as the lease does, and was
+        there when a read was sent that showed it. Otherwise a later leader is one of the other controllers. One that
+        has been elected since, in this process or in an earlier one, does not attest this term as the latest.
+        """
+        return max(self._lease_ends_at(), self.replica.current_at, self.attested_latest_at)
 
     def copy_current_at(self) -> float:
         """Return the time before which all that was confirmed is known here, by a read or by attestations."""
--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -94,6 +94,9 @@
         self.higher_token = False  # a report carried a higher token: another leader was elected
         self._last_number = 0
         self.started = now  # when this leader took over
+        # Before then no later leader has answered a worker; kept up to date by whoever asks `expire` or `lease_over`.
+        self.no_successor_before = -math.inf
+        self._kept_sessions = 0  # number of sessions in the last log line of `_log_kept_sessions`
         self.renewal_delegates: dict[str, LeaseRenewalDelegate] = {}  # by controller's name
         self.peer_answered_at: dict[str, float] = {}  # by controller's name: when it last answered this leader
         self.delegations = Delegations()
@@ -684,15 +687,20 @@
         this leader, by a follower with a delegation, by a controller that renewed the lease on the leader's behalf or,
         as long as the worker has not shown this leader's token, by an earlier leader. Launches that this leader sent
         count from the session's beginning; those of an earlier leader count from the end of that leader's time
-        (`earlier_leaders_until`).
+        (`earlier_leaders_until`). A later leader may have answered it at any time since it is not proven any more that
+        there is none, so the session must have ended before that (`no_successor_before`).
         """
+        return self._lease_over(machine, now, min(now, self.no_successor_before))
+
+    def _lease_over(self, machine: Machine, now: float, no_successor_before: float) -> bool:
+        """Whether the machine's session has ended if no later leader has answered it before this time."""
         lease_s = self.params.workers.lease_s * (1 + c.CLOCK_DRIFT) + c.WORKER_LEASE_MARGIN_S
         last = max(machine.answered_at, self.delegations.answered_until(machine.name))
         if machine.name not in self.unverified:
             last = max(last, machine.began_by)
         if not machine.fenced:
             last = max(last, self.earlier_leaders_until + c.WORKER_LEASE_MARGIN_S - lease_s)
-        return now > last + lease_s and all(
+        return no_successor_before > last + lease_s and all(
             (now <= other.revoked_until and now > other.process_began_by + lease_s)
             or now > other.answered_at + self.lease_extension_s + lease_s
             for other in self.renewal_delegates.values()
@@ -774,17 +782,37 @@
 
     def expire(self, now: float) -> None:
         """Remove the attempts of all machines whose lease has surely ended, and count these machines as verified."""
+        kept = 0
         for machine in list(self.machines.values()):
             holds = machine.attempts or machine.name in self.unverified
-            if holds and machine.status in (Status.UP, Status.LEAVING) and self.lease_over(machine, now):
-                log.info(
-                    "the lease of machine %s has ended; its tasks count as gone, those of unfinished jobs are queued",
-                    machine.name, extra={"machine": machine.name},
-                )  # fmt: skip
-                machine.last_ended_session = machine.session  # orders sent into it can no longer be carried out
-                self._lose_all(machine, now, "its machine's lease is over")
-                self._mark_verified(machine.name, now)
-                self.dirty = True
+            if not holds or machine.status not in (Status.UP, Status.LEAVING):
+                continue
+            if self.lease_over(machine, now):
+                self._end_session(machine, now)
+            elif self.no_successor_before < now and self._lease_over(machine, now, now):
+                kept += 1
+        self._log_kept_sessions(kept, now)
+
+    def _end_session(self, machine: Machine, now: float) -> None:
+        """Remove the machine's attempts: its lease has surely ended."""
+        log.info(
+            "the lease of machine %s has ended; its tasks count as gone, those of unfinished jobs are queued",
+            machine.name, extra={"machine": machine.name},
+        )  # fmt: skip
+        machine.last_ended_session = machine.session  # orders sent into it can no longer be carried out
+        self._lose_all(machine, now, "its machine's lease is over")
+        self._mark_verified(machine.name, now)
+        self.dirty = True
+
+    def _log_kept_sessions(self, kept: int, now: float) -> None:
+        """Log how many sessions are not taken for ended only because a later leader may have answered them."""
+        if kept > self._kept_sessions:
+            log.info(
+                "the tasks of %d machines are kept although this leader has not renewed their leases: a later leader "
+                "may have; that there is none was last proven %.1f s ago",
+                kept, now - self.no_successor_before,
+            )  # fmt: skip
+        self._kept_sessions = kept
 
     # --- orders -----------------------------------------------------------------------------------
 
--- a/tests/cuts/test_sessions.py
+++ b/tests/cuts/test_sessions.py
@@ -4,6 +4,7 @@
 ended may still be carried out.
 """
 
+import math
 import os
 from dataclasses import dataclass
 from typing import Any
@@ -33,6 +34,7 @@
     cluster.types = {m.type.name: m.type for m in machines}
     cluster.machines = {m.name: m for m in machines}
     cluster.unverified = set(cluster.machines)
+    cluster.no_successor_before = math.inf  # the tests of later leaders are in test_successors.py
     return cluster
 
 
