A late report does not disprove other controllers' renewals of a lease

What callers could see: a task that runs is started once more.

Cause: Machine.answered_at held the leader's own last answer and also what other controllers told of renewals on its behalf. A later report without the leader's token proves that its own answers did not arrive, and set the field back. But that report may have been sent before another controller showed the worker the token and renewed its lease, and come late. Word of the renewal was lost, and the session counted as over within it.

Change: renewed_at holds what others told; only answered_at is set back.

The new test failed before: lease_over was true 1.2 s after a renewal. Nothing is sent or stored; a float more for each machine.

--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -387,7 +387,8 @@
         """Conclude from a heartbeat whether earlier answers reached the worker.
 
         A worker reports again only once it has received the last answer or has given up on it. So a later report
-        without this leader's token proves that none of the leader's answers arrived, and that they renewed no lease.
+        without this leader's token proves that none of the leader's answers arrived, and that they renewed no lease. It
+        says nothing of answers that other controllers gave on the leader's behalf: it may have been sent before them.
         Otherwise a machine that sends reports but receives nothing would keep the tasks of all older jobs waiting for
         as long as that lasts.
         """
@@ -695,7 +696,7 @@
     def _lease_over(self, machine: Machine, now: float, no_successor_before: float) -> bool:
         """Whether the machine's session has ended if no later leader has answered it before this time."""
         lease_s = self.params.workers.lease_s * (1 + c.CLOCK_DRIFT) + c.WORKER_LEASE_MARGIN_S
-        last = max(machine.answered_at, self.delegations.answered_until(machine.name))
+        last = max(machine.answered_at, machine.renewed_at, self.delegations.answered_until(machine.name))
         if machine.name not in self.unverified:
             last = max(last, machine.began_by)
         if not machine.fenced:
@@ -731,7 +732,7 @@
         for last in self.delegations.take(follower, statement, now):
             machine = self.machines.get(last.machine)
             if machine is not None:
-                machine.answered_at = max(machine.answered_at, last.at)
+                machine.renewed_at = max(machine.renewed_at, last.at)
         revoked = []
         for grant in statement.held:
             machine = self.machines.get(grant.machine)
@@ -778,7 +779,7 @@
         for name, ago_s in renewed.items():
             machine = self.machines.get(name)
             if machine is not None:
-                machine.answered_at = max(machine.answered_at, now - max(0.0, ago_s))
+                machine.renewed_at = max(machine.renewed_at, now - max(0.0, ago_s))
 
     def expire(self, now: float) -> None:
         """Remove the attempts of all machines whose lease has surely ended, and count these machines as verified."""
--- a/pepperlatch/policy/model.py
+++ b/pepperlatch/policy/model.py
@@ -208,8 +208,8 @@
     unexpected: bool = False  # known only by a report; neither recorded nor rented
     fenced: bool = False  # it has shown this leader's token: its worker ignores earlier leaders' orders and answers
     began_by: float = -1.0  # by then its session had begun and, if it is fenced, its worker had this leader's token
-    # Last answer to its reports: by this leader or, as far as this leader knows, by another controller on its behalf.
-    answered_at: float = -1.0
+    answered_at: float = -1.0  # this leader's last answer to its reports that may have arrived
+    renewed_at: float = -1.0  # last answer of another controller on this leader's behalf, as far as the leader knows
     last_ended_session: int = -1  # sessions up to this one have surely ended
     # Number of the report last answered, and the launches in that answer; None if it had none.
     offered_launches: tuple[int, frozenset[tuple[str, int]]] | None = None
--- a/tests/cuts/test_sessions.py
+++ b/tests/cuts/test_sessions.py
@@ -151,6 +151,20 @@
     assert cluster.lease_over(met, PREDECESSOR_LEASES_END_S + 0.1)
 
 
+def test_a_late_report_does_not_disprove_that_another_controller_renewed_the_lease() -> None:
+    """Guards against tasks that run twice because a report from before the renewal came after word of it."""
+    one = machine("n-1")
+    cluster = cluster_of(one)
+    cluster.on_report(report(1, 5, TOKEN - 1), 1.0, heartbeat=True)
+    cluster.allow_delegated_renewal("perch-1", 1.0)
+    at = PREDECESSOR_LEASES_END_S + 5.0
+    cluster.on_renewal_revoked("perch-1", {"n-1": 1.0, PROCESS_AGE_KEY: 100.0}, at + 2, at)
+    cluster.on_report(report(1, 6, TOKEN - 1), at + 0.1, heartbeat=True)
+    assert not cluster.lease_over(one, at + 0.2)
+    cluster.on_renewal_revoked("perch-1", {PROCESS_AGE_KEY: 100.0}, at + 2 * LEASE_S, at + LEASE_S)
+    assert cluster.lease_over(one, at - 0.9 + LEASE_S + SLACK_S)
+
+
 def test_a_controller_that_restarts_does_not_know_whose_leases_it_renewed_for_the_leader() -> None:
     one = machine("n-1")
     cluster = cluster_of(one)
