A reap carries a token that ends late copies of the task's launch

What callers could see: a copy of a start command that was carried out and answered reaches the machine minutes later and starts the task once more: ran_twice for one that failed or was moved, ran_cancelled for a cancelled one.

Cause: once an attempt is reaped, its launch starts it anew. What was launched directly was reaped DUPLICATE_LAUNCH_WINDOW_S (120 s) after its end, and what was done at once. But messages may arrive minutes late, and only token and session end a copy.

Change: the revision of a write that is conditional on the leader's key is a token of that leader, above those of earlier leaders and below those of later ones. An attempt launched directly is reaped only in an answer whose token is above the launch's; only that machine gets it. Followers learn these tokens from contacts and answers, since they renew leases and answer delegated heartbeats for such machines too. Time is no reason any more, so the constant goes.

By design: no message more; the write fence at most every 5 s if nothing else is written; exited tasks leave the reports at the next answer, not after 120 s.

The test that a directly launched task is reaped only when no copy can arrive asked for 120 s. It now asks for a higher token, however late.

--- a/pepperlatch/constants/core.py
+++ b/pepperlatch/constants/core.py
@@ -174,9 +174,9 @@
 # A machine whose own heartbeats stop for longer gets no tasks; two controllers that are cut off cost a worker 10 s.
 OWN_HEARTBEAT_FACTOR: Final = 2.5  # times FRESH_REPORTS
 MAX_LOST_LAUNCH_ANSWERS: Final = 2  # answers with launches lost in a row; a single one may be lost to the network
-# Copies of an answered launch may arrive for minutes, so an ended attempt stays listed; that costs a few lines of a
-# report.
-DUPLICATE_LAUNCH_WINDOW_S: Final = 120.0  # s
+# Shortest time between two writes of the leader only to get a newer token, for all machines together; until then exited
+# tasks take a line each of their machine's reports.
+NEWER_TOKEN_INTERVAL_S: Final = 5.0  # s
 ATTEMPT_NUMBER_BITS: Final = 24  # bits; 16 million attempts under one token
 
 # --- cloud ----------------------------------------------------------------------------------------
--- a/pepperlatch/controller/contacts.py
+++ b/pepperlatch/controller/contacts.py
@@ -18,7 +18,7 @@
 from pepperlatch.constants import core as c
 from pepperlatch.controller.attestation import PeerAttestation
 from pepperlatch.controller.command_loop import CommandLoop, Reply
-from pepperlatch.controller.heartbeats.handler import HeartbeatHandler, LeaderContact
+from pepperlatch.controller.heartbeats.handler import HeartbeatHandler
 from pepperlatch.controller.leader import Leader
 from pepperlatch.controller.leaderless import LeaderlessReturns
 from pepperlatch.controller.leadership import Leadership
@@ -34,7 +34,8 @@
 from pepperlatch.settings import Peer, Settings
 
 log = logging.getLogger(__name__)
-IMAGES, DELEGATION = "images", "delegation"  # keys beside those of jobs in the answer; job ids all begin with run-
+# Keys beside those of jobs in the answer to a contact; job ids all begin with run-.
+IMAGES, DELEGATION, NEWEST_TOKEN = "images", "delegation", "newest_token"
 PEER_CONTACT, PEER_REVOKE_RENEWAL = "/peer/contact", "/peer/bar"
 
 
@@ -105,6 +106,7 @@
         now = self._clock()
         leader.cluster.allow_delegated_renewal(message.node, now)
         answer = self._job_progress(leader, now)
+        answer[NEWEST_TOKEN] = leader.cluster.newest_token
         if uses := self._images.after(message.images):
             answer[IMAGES] = uses
         if message.delegation is not None and self._find_peer(message.node) is not None:
@@ -201,7 +203,8 @@
         if answer is not None:
             self._apply_delegation(statement, answer.pop(DELEGATION, None), token, sent)
             self._images_received = (token, max(received, self._images.learn(answer.pop(IMAGES, []))))
-            self._heartbeats.leader_contact = LeaderContact(sent, token, answer)
+            newest_token = answer.pop(NEWEST_TOKEN, token)  # a leader of an earlier version has one token in a term
+            self._heartbeats.on_leader_contact(sent, token, newest_token, answer)
 
     def _apply_delegation(self, statement: DelegationStatement, encoded: Any, token: int, sent: float) -> None:
         """Apply the leader's answer to the statement sent at `sent`; it is None from a leader of an earlier version."""
--- a/pepperlatch/controller/heartbeats/delegation.py
+++ b/pepperlatch/controller/heartbeats/delegation.py
@@ -51,10 +51,10 @@
     def try_answer(self, report: Report, token: int, now: float) -> bool:
         """Whether this follower may answer the heartbeat, without orders. If True, the answer counts as given.
 
-        `token`: that of the leader as this node knows it.
+        `token`: that of the leader's term as this node knows it.
         """
         held = self._held.get(report.machine)
-        if held is None or now >= self._until or not token == self._token == report.token:
+        if held is None or now >= self._until or token != self._token or report.token < token:
             return False
         if report.seq <= held.report.seq or not _same_content(report, held.report) or self._shows_job_over(report):
             return False
@@ -75,7 +75,7 @@
         self._forwarded[report.machine] = report
 
     def on_answered(self, report: Report, number: int | None, token: int, now: float) -> None:
-        """The leader has answered the heartbeat; `number`: of the grant, None if it gave none.
+        """The leader has answered the heartbeat; `number`: of the grant, None if it gave none; `token`: of its term.
 
         A grant is not installed if a newer heartbeat was forwarded since, nobody waits for this one, or its number is
         not above the floor.
--- a/pepperlatch/controller/heartbeats/handler.py
+++ b/pepperlatch/controller/heartbeats/handler.py
@@ -18,7 +18,7 @@
 from pepperlatch.controller.command_loop import CommandLoop, Reply
 from pepperlatch.controller.heartbeats.delegation import DelegatedAnswers
 from pepperlatch.controller.heartbeats.forwarding import HeartbeatForwarder
-from pepperlatch.controller.leader import GRANT, HeartbeatAnswer, Leader
+from pepperlatch.controller.leader import GRANT, TERM, HeartbeatAnswer, Leader
 from pepperlatch.controller.leadership import renewal_deadline
 from pepperlatch.controller.store import Replica
 from pepperlatch.policy.cluster import PROCESS_AGE_KEY
@@ -42,6 +42,7 @@
 
     requested_at: float = float("-inf")  # steady clock, in seconds
     token: int = 0  # of the leader's term
+    newest_token: int = 0  # the highest token that the leader is known to have used in that term
     jobs: dict[str, list[Any]] = field(default_factory=dict)  # rows of `Contacts._job_progress`, by job id
 
 
@@ -129,6 +130,7 @@
         try:
             answer = (await self.answer_all_as_leader([report], self.routes.node))[0]
             if answer is not None:
+                answer.pop(TERM, None)
                 self.delegated_answers.on_answered(report, answer.pop(GRANT, None), token, self._clock())
             return _response(answer)
         finally:
@@ -164,8 +166,10 @@
             self.delegated_answers.on_forwarded(report)
             status, answer = await self.forwarder.forward(self._addr[leader], plain, seconds)
             if status == 200 and isinstance(answer, dict):
-                number = answer.pop(GRANT, None)
-                self.delegated_answers.on_answered(report, number, wire.answer_token(answer), self._clock())
+                number, token = answer.pop(GRANT, None), wire.answer_token(answer)
+                term = answer.pop(TERM, token)  # a leader of an earlier version has one token in a term
+                self._note_token(term, token)
+                self.delegated_answers.on_answered(report, number, term, self._clock())
                 return Response(200, limit_answer(answer))
         except NotSent:
             refused = True
@@ -188,6 +192,18 @@
         """
         return self.hears_leader() and self.delegated_answers.try_answer(report, token, self._clock())
 
+    def on_leader_contact(self, requested_at: float, token: int, newest_token: int, jobs: dict[str, list[Any]]) -> None:
+        """The leader of this term has answered a contact; `newest_token`: the highest that it may have used so far."""
+        before = self.leader_contact
+        if before.token == token:
+            newest_token = max(newest_token, before.newest_token)
+        self.leader_contact = LeaderContact(requested_at, token, newest_token, jobs)
+
+    def _note_token(self, term: int, token: int) -> None:
+        """The leader of this term has used the token, which no later leader shares."""
+        if self.leader_contact.token == term:
+            self.leader_contact.newest_token = max(self.leader_contact.newest_token, token)
+
     def _in_contact(self) -> bool:
         """Whether the leader answered a contact made within LEADER_SILENT_S.
 
@@ -219,12 +235,12 @@
         Only while the state service is not reached either, and only for as long as the leader itself might renew it:
         `lease_extension_s` from the last proof that it leads, and from the last contact that it answered, which is what
         the leader counts with. Not while a revocation holds, including one that this node may have acknowledged just
-        before it was restarted; and not for a worker that another leader has commanded since.
+        before it was restarted; and not for a worker that another leader may have commanded since.
         """
         now, known_leader, contact = self._clock(), self._replica.leader, self.leader_contact
         return (
             known_leader is not None
-            and known_leader[1] == contact.token == report.token
+            and known_leader[1] == contact.token <= report.token <= contact.newest_token
             and not self._state_service_reachable()
             and now > max(self._renewal_revoked_until, self._began_at + c.RENEWAL_REVOCATION_S)
             and now < renewal_deadline(self._lease_extension_s, self._replica.current_at, contact.requested_at)
--- a/pepperlatch/controller/leader.py
+++ b/pepperlatch/controller/leader.py
@@ -43,7 +43,9 @@
 log = logging.getLogger(__name__)
 Clock = Callable[[], float]
 HeartbeatAnswer = dict[str, Any] | None
-GRANT = "grant"  # field in the answer to a forwarded heartbeat; the follower removes it before it answers the worker
+# Fields in the answer to a forwarded heartbeat that the follower removes before it answers the worker: the number of a
+# grant, and the token of the leader's term, if the answer's own token is a later one of that term.
+GRANT, TERM = "grant", "term"
 
 
 @dataclass(slots=True)
@@ -109,6 +111,7 @@
         self._plan_not_before = 0.0
         self._pace = RoundPace()
         self._housekeeping_at = 0.0
+        self._token_requested_at = -math.inf
 
     # --- lifecycle --------------------------------------------------------------------------------
 
@@ -342,6 +345,7 @@
             return
         now = self.clock()
         lease_valid, may_answer = self.term.lease_valid(now), self.term.may_answer(now)
+        self.cluster.newest_token = max(self.cluster.newest_token, self.writer.newest_revision)
         if now - self._housekeeping_at >= c.TICK_S:
             self._housekeeping_at = now
             self.cluster.no_successor_before = self.term.no_successor_before()
@@ -355,6 +359,14 @@
         if lease_valid:
             self._records.record_tasks(now)
             self._records.record_machines(now)
+            self._request_newer_token(now)
+
+    def _request_newer_token(self, now: float) -> None:
+        """Write something if tasks wait to be reaped for a newer token, at most every `NEWER_TOKEN_INTERVAL_S`."""
+        wanted, self.cluster.newer_token_wanted = self.cluster.newer_token_wanted, False
+        if wanted and now - self._token_requested_at >= c.NEWER_TOKEN_INTERVAL_S:
+            self._token_requested_at = now
+            self.writer.request_newer_revision()
 
     def _plan(self, now: float, lease_valid: bool) -> None:
         """Run one planning round, and rent machines at most every `MIN_RENT_INTERVAL_S`.
@@ -403,7 +415,10 @@
         machine.answered_at = now
         newest = seq == machine.seq
         orders = self.cluster.orders_for_heartbeat(machine, lease_valid, now) if newest else []
-        answer = wire.report_answer(self.term.token, orders)
+        token = self.cluster.command_token(machine)
+        answer = wire.report_answer(token, orders)
+        if follower and token != self.term.token:
+            answer[TERM] = self.term.token
         if follower and newest and not orders and self.cluster.can_delegate(machine):
             answer[GRANT] = self.cluster.delegations.grant(follower, machine.name)
         return answer
@@ -421,19 +436,22 @@
             # After lost answers even an empty command is sent: it shows whether the machine can be commanded again.
             if orders or machine.lost_answers >= c.MAX_LOST_LAUNCH_ANSWERS:
                 machine.sending = True
-                self._context.spawn(self._command, machine, machine.session, orders, launched)
+                token = self.cluster.command_token(machine)
+                self._context.spawn(self._command, machine, token, machine.session, orders, launched)
 
-    async def _command(self, machine: Machine, session: int, orders: list[dict[str, Any]], launched: list[Any]) -> None:
+    async def _command(
+        self, machine: Machine, token: int, session: int, orders: list[dict[str, Any]], launched: list[Any]
+    ) -> None:
         """Send orders to one worker and enqueue the result. After a failure the next command waits for a pause.
 
-        `session` is the worker session that the orders were made for. A worker in a later session must refuse them,
+        `token` and `session` are those that the orders were made for. A worker in a later session must refuse them,
         since the launches in them were given up when the session changed.
         """
         executed: bool | None = None
         report: Report | None = None
         pause, sent = 0.0, self.clock()
         try:
-            executed, report = await self._workers.command(machine.addr, self.term.token, session, orders)
+            executed, report = await self._workers.command(machine.addr, token, session, orders)
         except NotSent:
             executed, pause = False, c.COMMAND_TIMEOUT_S / 2
         except NoUsableResponse:
--- a/pepperlatch/controller/writer.py
+++ b/pepperlatch/controller/writer.py
@@ -43,6 +43,8 @@
 
     def __init__(self, state: StateClient, term: Term, max_changes: int) -> None:
         self.fence_version = 0  # version of the write fence key, 0 if there is none; read on taking over
+        self.newest_revision = term.token  # of the writes that are known to be applied
+        self._newer_revision_wanted = False  # the fence is to be written anew although no outcome is unknown
         self._outcome_unknown = False  # a transaction without an answer may yet be applied
         self._state = state
         self._term = term
@@ -61,6 +63,11 @@
         (self._deferred if deferred else self._queue).append(write)
         self._wake.set()
 
+    def request_newer_revision(self) -> None:
+        """Have the write fence written anew, which makes `newest_revision` larger, unless other writes do first."""
+        self._newer_revision_wanted = True
+        self._wake.set()
+
     async def run(self) -> None:
         """Commit queued writes until the term is over; those that aren't confirmed are tried again."""
         while not self._term.over:
@@ -70,6 +77,10 @@
                 await trio.sleep(c.STATE_RETRY_S)
                 continue
             batch = self._next_batch()
+            if not batch and self._newer_revision_wanted:
+                if not await self._advance_fence():
+                    await trio.sleep(c.STATE_RETRY_S)
+                continue
             if not batch:
                 await self._wait_for_work()
                 continue
@@ -139,6 +150,7 @@
             )
             if outcome.applied:
                 self.fence_version = outcome.revision
+                self._note_revision(outcome.revision)
             elif store.LEADER in outcome.failed:
                 self._term.over = True
             else:  # an earlier try had no answer, but was applied
@@ -160,6 +172,7 @@
             self._leader_conditions() + [w for b in batch for w in b.conditions], [w for b in batch for w in b.changes]
         )
         if outcome.applied:
+            self._note_revision(outcome.revision)
             for write in batch:
                 write.on_outcome(True)
         elif store.LEADER in outcome.failed:
@@ -175,6 +188,10 @@
                     write.on_outcome(False)
             self._queue.extendleft(reversed(rest))
 
+    def _note_revision(self, revision: int) -> None:
+        self.newest_revision = max(self.newest_revision, revision)
+        self._newer_revision_wanted = False
+
 
 def _as_single(write: Write) -> Write:
     return Write(write.changes, write.on_outcome, write.conditions, alone=True)
--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -59,7 +59,9 @@
 class Cluster:
     """The state that one leader keeps during its term; created at takeover and discarded with the term.
 
-    `node` is the leader's name and `token` its fencing token. `lease_extension_s`: seconds for which a controller may
+    `node` is the leader's name and `token` its fencing token. The revision of any write that was conditional on the
+    leader's key is a token of this leader as well, above those of earlier leaders and below those of later ones:
+    `newest_token` is the highest of them. `lease_extension_s`: seconds for which a controller may
     renew leases after its last proof of leadership, or after its last contact with the leader. `spec_of` finds the spec
     of a job that has ended but whose tasks may still be reported. `cancelled_since` returns the earliest time at which
     a user may have been told that a job is cancelled; infinite if it is not.
@@ -91,7 +93,9 @@
         self.to_release: set[str] = set()  # to be returned to the cloud
         self.release_requested: set[str] = set()  # the cloud was asked to take them back; it may do so at any time
         self.dirty = True  # something has changed that the planner has not considered yet
-        self.higher_token = False  # a report carried a higher token: another leader was elected
+        self.higher_token = False  # a report carried a token above all of this leader's: another leader was elected
+        self.newest_token = token
+        self.newer_token_wanted = False  # tasks cannot be reaped with the tokens that this leader has
         self._last_number = 0
         self.started = now  # when this leader took over
         # Before then no later leader has answered a worker; kept up to date by whoever asks `expire` or `lease_over`.
@@ -333,7 +337,7 @@
         `heartbeat`: the worker waits for an answer with orders. `through_others`: another controller asked the worker,
         so no orders can go back that way. `asked_at`: when the question was sent that the report answers.
         """
-        if report.token > self.token:
+        if report.token > self.newest_token:
             self.higher_token = True
             return None
         if report.machine in self.removed_machines:
@@ -343,6 +347,7 @@
         machine = self.machines.get(report.machine) or self._add_unlisted(report, now)
         if machine is None:
             return None
+        machine.token = max(machine.token, report.token)
         if (report.session, report.seq) <= (machine.session, machine.seq):
             self._out_of_order(machine, asked_at)
             return machine
@@ -437,7 +442,7 @@
         The report of a machine that was neither rented nor listed may be an old one that was delayed: such a machine
         joins only once it has reported this leader's token or the cloud has listed it.
         """
-        if report.token == self.token and not machine.fenced:
+        if report.token >= self.token and not machine.fenced:
             machine.fenced = True
             machine.began_by = now  # until now an earlier leader may have answered it
             self._mark_verified(machine.name, now)
@@ -472,7 +477,9 @@
         """Bring the machine's attempts in line with the newest report."""
         shown = {(t.task, t.attempt): t for t in report.tasks}
         machine.list_ended({key: t for key, t in shown.items() if t.state is TaskState.EXITED})
-        machine.reap_not_before = {key: until for key, until in machine.reap_not_before.items() if key in machine.ended}
+        machine.direct_launches = {
+            key: token for key, token in machine.direct_launches.items() if key in shown or key in machine.attempts
+        }
         unknown_tasks = {}
         for key, task in shown.items():
             attempt = machine.attempts.get(key)
@@ -577,8 +584,6 @@
             )  # fmt: skip
             cause = task.end_cause.value if task.end_cause else "ended"
             self._remove(attempt, now, (task.end_cause is Cause.STOPPED and attempt.stop_reason) or cause)
-        if attempt is not None and attempt.sent_seq < 0 and task.end_cause is not Cause.DONE:
-            machine.reap_not_before[(task.task, task.attempt)] = now + c.DUPLICATE_LAUNCH_WINDOW_S
         if parts and job is not None and task.end_cause is Cause.DONE:
             self._finished(job, parts[1], attempt, now)
         if attempt is not None:
@@ -651,6 +656,7 @@
     def _lose_all(self, machine: Machine, now: float, why: str) -> None:
         """Remove all attempts: the machine is gone or its session has ended, so none runs or can still start."""
         machine.in_flight.clear()
+        machine.direct_launches.clear()
         machine.list_ended({})
         self.unknown_tasks.pop(machine.name, None)
         for attempt in list(machine.attempts.values()):
@@ -832,11 +838,13 @@
         keys = frozenset((attempt.name, attempt.number) for attempt in offered_launches)
         machine.offered_launches = (machine.seq, keys) if keys else None
         if sure:
-            for key, task in machine.ended.items():
-                if not batch.full and self._reapable(machine, key, task, now):
-                    batch.add([wire.reap(*key)])
+            self._add_reaps(batch, machine)
         return batch.orders
 
+    def command_token(self, machine: Machine) -> int:
+        """The token with which the machine is answered and commanded."""
+        return max(self.token, machine.token)
+
     def _by_intent(self, machine: Machine) -> tuple[list[Attempt], list[Attempt]]:
         """The machine's attempts that are to be stopped, those that were told longest ago first, and all others."""
         stopped = [attempt for attempt in machine.attempts.values() if not attempt.wanted]
@@ -862,13 +870,34 @@
             self._note_sent(attempt, seq, now)
         return launched
 
-    def _reapable(self, machine: Machine, key: Key, task: TaskReport, now: float) -> bool:
-        """Whether the worker may forget an exited task: once the result is saved and no launch of it can arrive.
+    def _add_reaps(self, batch: OrderBatch, machine: Machine) -> None:
+        """Add reaps of the exited tasks that the worker may forget, for an answer with `command_token`."""
+        for key, task in machine.ended.items():
+            if batch.full:
+                return
+            if self._reapable(machine, key, task) and self._ends_copies_of_launch(machine, key):
+                batch.add([wire.reap(*key)])
+
+    def _ends_copies_of_launch(self, machine: Machine, key: Key) -> bool:
+        """Whether the machine's token ends all copies of the attempt's direct launch; it is raised if that is needed.
 
-        A launch that arrives after the reap would run the task again. A copy of a direct launch may arrive although the
-        launch was answered; only if the task is done this does no harm, for the task then ends at once.
+        A copy may arrive at any later time although the launch was answered, and is carried out unless the worker has
+        seen a higher token. While a direct command is under way the token is not raised: the worker might refuse it.
         """
-        if key in machine.in_flight or key in machine.attempts or now < machine.reap_not_before.get(key, 0.0):
+        launched_with = machine.direct_launches.get(key, 0)
+        if launched_with < self.command_token(machine):
+            return True
+        if launched_with >= self.newest_token:
+            self.newer_token_wanted = True
+            return False
+        if machine.sending:
+            return False
+        machine.token = self.newest_token
+        return True
+
+    def _reapable(self, machine: Machine, key: Key, task: TaskReport) -> bool:
+        """Whether the worker may forget an exited task: its result is saved, and no launch of it is unanswered."""
+        if key in machine.in_flight or key in machine.attempts:
             return False
         parts = split_task(task.task)
         job = self.jobs.get(parts[0]) if parts else None
@@ -902,6 +931,8 @@
         stopped, others = self._by_intent(machine)
         launched = self._add_orders(batch, stopped, -1, now)
         launched += self._add_orders(batch, others, -1, now)
+        for attempt in launched:
+            machine.direct_launches[(attempt.name, attempt.number)] = self.command_token(machine)
         return batch.orders, launched
 
     def direct_result(self, machine: Machine, launched: list[Attempt], executed: bool | None, now: float) -> None:
--- a/pepperlatch/policy/model.py
+++ b/pepperlatch/policy/model.py
@@ -194,7 +194,9 @@
     replica_share: float = 0.0  # share of its CPUs or GPUs, whichever is larger, that replicas use
     ended: dict[tuple[str, int], TaskReport] = field(default_factory=dict)  # exited tasks that its worker still lists
     in_flight: set[tuple[str, int]] = field(default_factory=set)  # launches that may still arrive; not reaped
-    reap_not_before: dict[tuple[str, int], float] = field(default_factory=dict)  # a copy of the launch may come before
+    # Attempts launched by direct commands that its worker may hold: the token of the last such command. A copy of it
+    # launches the attempt again once that is reaped, unless the worker has seen a higher token by then.
+    direct_launches: dict[tuple[str, int], int] = field(default_factory=dict)
     images: dict[str, float] = field(default_factory=dict)  # fetched images and their GB, most recently used last
     session: int = 0  # newest known session of its worker; each lasts as long as its lease
     seq: int = -1  # number of the newest report in that session
@@ -207,6 +209,7 @@
     return_needs_lease: bool = True  # of the leader's key; False: it may hold a cancelled task and time is short
     unexpected: bool = False  # known only by a report; neither recorded nor rented
     fenced: bool = False  # it has shown this leader's token: its worker ignores earlier leaders' orders and answers
+    token: int = 0  # a token above the term's with which it is answered and commanded; 0: the term's
     began_by: float = -1.0  # by then its session had begun and, if it is fenced, its worker had this leader's token
     answered_at: float = -1.0  # this leader's last answer to its reports that may have arrived
     renewed_at: float = -1.0  # last answer of another controller on this leader's behalf, as far as the leader knows
--- a/tests/acceptance/test_fast_restarts.py
+++ b/tests/acceptance/test_fast_restarts.py
@@ -12,7 +12,7 @@
 from pepperlatch.policy.model import Status
 from pepperlatch.protocol.state import OutcomeUnknown
 from pepperlatch.protocol.wire import Cause
-from tests.cuts.test_sessions import cluster_of, report
+from tests.cuts.test_sessions import TOKEN, cluster_of, report
 from tests.fakes import CANCEL_S, LEASE_S, NODES, REPORT_S, World, job, run_scenario
 from tests.test_edges import machine, spec_of
 
@@ -255,17 +255,38 @@
     run_scenario(scenario)
 
 
-def test_a_directly_launched_task_is_reaped_only_when_no_copy_of_its_launch_can_arrive() -> None:
+def test_a_directly_launched_task_is_reaped_only_with_a_token_that_ends_copies_of_its_launch() -> None:
+    """Guards against tasks that run twice: a copy arrives at any later time and counts until a higher token is seen."""
     one = machine("n-1")
     cluster = cluster_of(one)
     cluster.on_report(report(1, 1), 1.0, heartbeat=True)
     held = cluster.place(cluster.add_job(spec_of(1, pieces=1), 3, 0.0, set()), 0, one, 1.0)
-    held.sent_seq, held.phase = -1, held.phase.CONFIRMED
-    row = {"piece": held.name, "try": held.number, "status": "ended", "cause": Cause.STOPPED.value}
-    cluster.on_report(report(1, 2, pieces=[row]), 2.0, heartbeat=True)
+    _, launched = cluster.orders_direct(one, 1.0)
+    row = {"piece": held.name, "try": held.number, "status": "running"}
+    cluster.on_report(report(1, 2, pieces=[row]), 2.0, heartbeat=False)
+    cluster.direct_result(one, launched, True, 2.0)
+    ended = {**row, "status": "ended", "cause": Cause.STOPPED.value}
+    cluster.on_report(report(1, 3, pieces=[ended]), 3.0, heartbeat=True)
 
     def is_reaped(now: float) -> bool:
         return any(order["verb"] == "reap" for order in cluster.orders_for_heartbeat(one, True, now))
 
     assert not is_reaped(3.0)
-    assert is_reaped(3.0 + c.DUPLICATE_LAUNCH_WINDOW_S)
+    assert not is_reaped(1e6), "time alone proves nothing"
+    assert (cluster.newer_token_wanted, cluster.command_token(one)) == (True, TOKEN)
+    cluster.newest_token = TOKEN + 5
+    one.sending = True
+    assert not is_reaped(4.0), "the worker might refuse the direct command that is under way"
+    one.sending = False
+    assert is_reaped(5.0)
+    assert cluster.command_token(one) == TOKEN + 5, "the answer that reaps carries it"
+
+
+def test_a_leader_knows_its_own_newer_tokens_from_those_of_a_later_leader() -> None:
+    one = machine("n-1")
+    cluster = cluster_of(one)
+    cluster.newest_token = TOKEN + 5
+    cluster.on_report(report(1, 1, TOKEN + 5), 1.0, heartbeat=True)
+    assert (cluster.higher_token, one.fenced, cluster.command_token(one)) == (False, True, TOKEN + 5)
+    cluster.on_report(report(1, 2, TOKEN + 6), 2.0, heartbeat=True)
+    assert cluster.higher_token
