The leader's side of delegated lease renewal has a module of its own

Moved from policy/cluster.py, which has grown to 1,000 lines: who may renew leases on the leader's behalf, and when all of that has ended. No change of behaviour; the tests call the new object.

--- a/pepperlatch/controller/contacts.py
+++ b/pepperlatch/controller/contacts.py
@@ -104,7 +104,7 @@
         if leader is None or message.token != leader.term.token or leader.term.over:
             return Response(404, {"error": "does not lead"})
         now = self._clock()
-        leader.cluster.allow_delegated_renewal(message.node, now)
+        leader.cluster.renewal_delegates.allow(message.node, now)
         answer = self._job_progress(leader, now)
         answer[NEWEST_TOKEN] = leader.cluster.newest_token
         if uses := self._images.after(message.images):
--- a/pepperlatch/controller/heartbeats/handler.py
+++ b/pepperlatch/controller/heartbeats/handler.py
@@ -21,9 +21,9 @@
 from pepperlatch.controller.leader import GRANT, TERM, HeartbeatAnswer, Leader
 from pepperlatch.controller.leadership import renewal_deadline
 from pepperlatch.controller.store import Replica
-from pepperlatch.policy.cluster import PROCESS_AGE_KEY
 from pepperlatch.policy.heartbeat_router import HeartbeatRouter
 from pepperlatch.policy.model import split_task
+from pepperlatch.policy.renewal_delegates import PROCESS_AGE_KEY
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.http.client import Network, NotSent, NoUsableResponse
 from pepperlatch.protocol.http.server import Response
--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -9,7 +9,6 @@
 import logging
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 from pepperlatch.constants import core as c
@@ -23,6 +22,7 @@
 from pepperlatch.policy.model import Attempt, Job, Machine, Phase, Status, split_task
 from pepperlatch.policy.quota import Quota, Usage
 from pepperlatch.policy.reasons import Reason
+from pepperlatch.policy.renewal_delegates import PROCESS_AGE_KEY, RenewalDelegates
 from pepperlatch.policy.task_queue import TaskQueue
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.order_batch import Order, OrderBatch
@@ -32,9 +32,6 @@
 log = logging.getLogger(__name__)
 Key = tuple[str, int]  # identifies an attempt: "JOB/TASK" and the attempt number
 SILENT, SILENT_CANCELLED = "silent", "silent, perhaps with a cancelled task"
-# Key of the process's age in seconds in the answer to a revocation of delegated lease renewal; the other keys are
-# machines' names.
-PROCESS_AGE_KEY = ""
 SpecOf = Callable[[str], JobSpec | None]  # finds the spec of a job by its id
 
 
@@ -43,19 +40,6 @@
     return {"job": attempt.job.spec.id, "task": attempt.task, "machine": attempt.machine.name}
 
 
-@dataclass(slots=True)
-class LeaseRenewalDelegate:
-    """What the leader knows of a controller that may renew workers' leases on the leader's behalf.
-
-    A controller that has lost contact with the leader does so (delegated lease renewal, `HeartbeatHandler`). Times are
-    of the leader's steady clock.
-    """
-
-    answered_at: float = float("-inf")  # when the leader last answered a contact of the controller
-    revoked_until: float = float("-inf")  # it has acknowledged that it renews no lease before then
-    process_began_by: float = float("inf")  # its process began no later; what an earlier process renewed is unknown
-
-
 class Cluster:
     """The state that one leader keeps during its term; created at takeover and discarded with the term.
 
@@ -74,7 +58,6 @@
         self.node = node
         self.token = token
         self.params = params
-        self.lease_extension_s = lease_extension_s
         # leases renewed by earlier leaders, and sessions commanded by them, have ended by then
         self.earlier_leaders_until = now + lease_extension_s + params.workers.lease_s * (1 + c.CLOCK_DRIFT)
         self._spec_of = spec_of
@@ -101,7 +84,7 @@
         # Before then no later leader has answered a worker; kept up to date by whoever asks `expire` or `lease_over`.
         self.no_successor_before = -math.inf
         self._kept_sessions = 0  # number of sessions in the last log line of `_log_kept_sessions`
-        self.renewal_delegates: dict[str, LeaseRenewalDelegate] = {}  # by controller's name
+        self.renewal_delegates = RenewalDelegates(lease_extension_s)
         self.peer_answered_at: dict[str, float] = {}  # by controller's name: when it last answered this leader
         self.delegations = Delegations()
         self.images = ImageMemory()
@@ -707,11 +690,7 @@
             last = max(last, machine.began_by)
         if not machine.fenced:
             last = max(last, self.earlier_leaders_until + c.WORKER_LEASE_MARGIN_S - lease_s)
-        return no_successor_before > last + lease_s and all(
-            (now <= other.revoked_until and now > other.process_began_by + lease_s)
-            or now > other.answered_at + self.lease_extension_s + lease_s
-            for other in self.renewal_delegates.values()
-        )
+        return no_successor_before > last + lease_s and self.renewal_delegates.all_ended(now, lease_s)
 
     # --- delegated heartbeats ---------------------------------------------------------------------
 
@@ -763,25 +742,13 @@
         machine.reached_at = min(machine.reached_at, heard_at)
         machine.heartbeat_at = min(machine.heartbeat_at, heard_at)
 
-    def allow_delegated_renewal(self, peer: str, now: float) -> None:
-        """Note that this leader answers a peer's contact.
-
-        From now on the peer may renew leases on the leader's behalf, until `lease_extension_s` seconds after it asked.
-        """
-        self.renewal_delegates.setdefault(peer, LeaseRenewalDelegate()).answered_at = now
-
     def on_renewal_revoked(self, peer: str, renewed: dict[str, float], until: float, now: float) -> None:
         """Note that a peer has acknowledged that it renews no lease on the leader's behalf before `until`.
 
-        `renewed`: by machine, seconds since the peer last renewed its lease. The peer remembers only what its present
-        process did, whose age in seconds is under PROCESS_AGE_KEY. Without an age (a peer of an earlier version) the
-        acknowledgement has no effect, and only the passing of time proves that the peer renews no lease.
+        `renewed`: by machine, seconds since the peer last renewed its lease, and the age of its process.
         """
         self.peer_answered_at[peer] = now
-        other, began_s = self.renewal_delegates.get(peer), renewed.get(PROCESS_AGE_KEY)
-        if other is not None and began_s is not None:
-            other.revoked_until = until
-            other.process_began_by = now - began_s
+        self.renewal_delegates.on_revoked(peer, renewed.get(PROCESS_AGE_KEY), until, now)
         for name, ago_s in renewed.items():
             machine = self.machines.get(name)
             if machine is not None:
--- a/tests/cuts/test_sessions.py
+++ b/tests/cuts/test_sessions.py
@@ -14,8 +14,9 @@
 
 from pepperlatch.constants import core as c
 from pepperlatch.policy import placement
-from pepperlatch.policy.cluster import PROCESS_AGE_KEY, Cluster
+from pepperlatch.policy.cluster import Cluster
 from pepperlatch.policy.model import Machine, Phase, Status
+from pepperlatch.policy.renewal_delegates import PROCESS_AGE_KEY
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.wire import Report
 from tests.cuts.generated import failures_by_seed
@@ -156,7 +157,7 @@
     one = machine("n-1")
     cluster = cluster_of(one)
     cluster.on_report(report(1, 5, TOKEN - 1), 1.0, heartbeat=True)
-    cluster.allow_delegated_renewal("perch-1", 1.0)
+    cluster.renewal_delegates.allow("perch-1", 1.0)
     at = PREDECESSOR_LEASES_END_S + 5.0
     cluster.on_renewal_revoked("perch-1", {"n-1": 1.0, PROCESS_AGE_KEY: 100.0}, at + 2, at)
     cluster.on_report(report(1, 6, TOKEN - 1), at + 0.1, heartbeat=True)
@@ -169,7 +170,7 @@
     one = machine("n-1")
     cluster = cluster_of(one)
     cluster.on_report(report(1, 5), 1.0, heartbeat=True)
-    cluster.allow_delegated_renewal("perch-1", 1.0)
+    cluster.renewal_delegates.allow("perch-1", 1.0)
     over = 1.1 + LEASE_S + SLACK_S
     cluster.on_renewal_revoked("perch-1", {PROCESS_AGE_KEY: 0.5}, over + 2, over)
     assert not cluster.lease_over(one, over), "its earlier process may have answered the machine half a second ago"
