A follower that comes back looks up no machine of an outdated list

Cause: the names that are due were determined before the node waited for its witnesses, and looked up afterwards in the leader's list, which a message had replaced meanwhile.

Change: what is due is determined anew after each wait, and is nothing once a leader was heard again.

--- a/pepperlatch/controller/leaderless.py
+++ b/pepperlatch/controller/leaderless.py
@@ -74,8 +74,7 @@
         """Run until cancelled; a return that was requested by then may still be carried out."""
         while True:
             await trio.sleep(c.TICK_S)
-            if self._candidates and self._leaderless():
-                await self._return_unanswered()
+            await self._return_unanswered()
 
     def _leaderless(self) -> bool:
         """Return whether the leader is silent, this node does not lead, and its reads of the state service are old."""
@@ -83,28 +82,30 @@
         leader_silent = now - self._updated_at > c.LEADER_SILENT_S
         return leader_silent and not self._leads() and now - self._replica.current_at > c.HANDOVER_STALE_S
 
+    def _due(self) -> dict[str, _ReturnCandidate]:
+        """The machines on the latest list whose return is due now; none as long as a leader may return them itself."""
+        if not self._leaderless():
+            return {}
+        now = self._clock()
+        due_s, most_s = return_after_s(self._times), self._times.cancel_s
+        names = sorted(name for name, machine in self._candidates.items() if due_s < now - machine.since <= most_s)
+        return {name: self._candidates[name] for name in names[: c.MAX_NAMES_PER_RELEASE]}
+
     async def _return_unanswered(self) -> None:
         """Probe the machines whose return is due, and return those that no controller reaches.
 
         A probe without an answer counts only if this node reaches a witness, or if another controller's failure to
-        reach the machine is conclusive (see `PeerProxy.inspect`).
+        reach the machine is conclusive (see `PeerProxy.inspect`). While this waits for answers, a leader may be heard
+        again and replace the list, so what is due is determined anew after each wait.
         """
-        now = self._clock()
-        due_s, most_s = return_after_s(self._times), self._times.cancel_s
-        due = [name for name, machine in self._candidates.items() if due_s < now - machine.since <= most_s]
-        due = sorted(due)[: c.MAX_NAMES_PER_RELEASE]
-        if not due:
+        if not self._due():
             return
         witness_reached = await self._peers.reaches_any(self._witnesses)
         async with trio.open_nursery() as nursery:
-            for name in due:
-                nursery.start_soon(self._probe, self._candidates[name], witness_reached)
-        silent = [
-            name
-            for name in due
-            if name in self._candidates and self._candidates[name].unanswered >= c.MAX_UNANSWERED_PROBES
-        ]
-        if silent and self._leaderless():
+            for machine in self._due().values():
+                nursery.start_soon(self._probe, machine, witness_reached)
+        silent = [name for name, machine in self._due().items() if machine.unanswered >= c.MAX_UNANSWERED_PROBES]
+        if silent:
             await self._release(silent)
 
     async def _probe(self, machine: _ReturnCandidate, witness_reached: bool) -> None:
