A new term is not handed over for what the earlier one did not hear

What callers could see: a second change of leader within seconds, and a controller that enters no election for 15 s.

Cause: the contact loop read the leader before it waited for the other controllers, and resigned the present term afterwards.

Change: only the term that was judged is handed over, and only while it is the present one.

It costs nothing; nothing is stored or sent differently.

--- a/pepperlatch/controller/contacts.py
+++ b/pepperlatch/controller/contacts.py
@@ -166,7 +166,7 @@
                         nursery.start_soon(self._revoke_renewal, leader, peer, message)
                     if self._clock() - self._replica.current_at > c.ATTESTATION_AFTER_S:
                         nursery.start_soon(self._attestation.request_attestations, leader.term)
-                if reason := self._handover_reason(leader):
+                if leader is self._leader() and (reason := self._handover_reason(leader)):
                     log.info("handing over leadership: %s", reason)
                     await self._leadership.resign(c.HANDOVER_PAUSE_S)
             elif known_leader is not None and (leading_peer := self._find_peer(known_leader[0])) is not None:
