A batch for a leader found to be of an earlier version is sent whole

What callers could see: during a roll-out, workers of a follower wait up to 2 s in vain, once.

Cause: whether the leader takes batches was known anew between taking a batch from the queue and sending it; then only its first report was sent.

Change: all of the batch is sent, a report a request. A place in flight is taken only once there is a batch.

--- a/pepperlatch/controller/heartbeats/forwarding.py
+++ b/pepperlatch/controller/heartbeats/forwarding.py
@@ -79,9 +79,10 @@
                 self._wake = trio.Event()
                 await trio.sleep_until(max(self._next_at, trio.current_time()))
                 while self._queue and self._in_flight < c.MAX_CONCURRENT_FORWARDS:
+                    batch = self._take_batch()
                     self._in_flight += 1
                     self._next_at = trio.current_time() + c.MIN_FORWARD_INTERVAL_S
-                    nursery.start_soon(self._deliver, self._take_batch())
+                    nursery.start_soon(self._deliver, batch)
 
     def _take_batch(self) -> list[_PendingReport]:
         """Remove from the queue the next reports for one leader, as many as fit into a request."""
@@ -100,13 +101,18 @@
     async def _deliver(self, batch: list[_PendingReport]) -> None:
         try:
             if trio.current_time() < self._single_until.get(batch[0].addr, 0.0):
-                await self._send_single(batch[0])
+                await self._send_singly(batch)  # more than one if the leader's version became known meanwhile
             else:
                 await self._send_batch(batch)
         finally:
             self._in_flight -= 1
             self._wake.set()
 
+    async def _send_singly(self, batch: list[_PendingReport]) -> None:
+        async with trio.open_nursery() as nursery:
+            for item in batch:
+                nursery.start_soon(self._send_single, item)
+
     async def _send_single(self, item: _PendingReport) -> None:
         """Send one report by itself, which every version understands."""
         try:
@@ -130,9 +136,7 @@
         answers = answer.get("answers") if status == 200 and isinstance(answer, dict) else None
         if not isinstance(answers, list) or len(answers) != len(batch):  # an earlier version, without this path
             self._single_until[addr] = trio.current_time() + c.FORWARD_UNBATCHED_S
-            async with trio.open_nursery() as nursery:
-                for item in batch:
-                    nursery.start_soon(self._send_single, item)
+            await self._send_singly(batch)
             return
         for item, report_answer in zip(batch, answers, strict=True):
             item.settle((200, report_answer) if report_answer is not None else (503, None))
--- a/tests/test_terms_replaced_meanwhile.py
+++ b/tests/test_terms_replaced_meanwhile.py
@@ -3,7 +3,9 @@
 from typing import Any
 
 import trio
+import trio.testing
 
+from pepperlatch.controller.heartbeats.forwarding import HeartbeatForwarder, _PendingReport
 from pepperlatch.controller.leader import Leader
 from tests.fakes import World, run_scenario
 
@@ -34,3 +36,26 @@
         assert node.leader is second and not second.term.over
 
     run_scenario(scenario)
+
+
+class EarlierLeader:
+    """A leader of an earlier version: it takes one report a request."""
+
+    async def request(
+        self, addr: str, method: str, path: str, body: Any = None, deadline_s: float = 2.0
+    ) -> tuple[int, Any]:
+        return (200, {"of": body["n"]}) if "beats" not in body else (404, None)
+
+
+def test_a_batch_that_meets_a_leader_found_to_be_of_an_earlier_version_is_sent_whole() -> None:
+    """Guards against reports that nobody sends: the version became known after the batch was taken from the queue."""
+
+    async def main() -> list[Any]:
+        forwarder = HeartbeatForwarder(EarlierLeader(), "perch-9")
+        batch = [_PendingReport("10.0.0.1:2", {"n": number}) for number in range(3)]
+        forwarder._single_until["10.0.0.1:2"] = trio.current_time() + 30.0
+        await forwarder._deliver(batch)
+        return [item.outcome for item in batch]
+
+    outcomes = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert outcomes == [(200, {"of": number}) for number in range(3)]
