HEAD is answered as GET without a body, and CONNECT is refused

Cause: the HTTP library raises as a body is written for them, and the exception left the connection and the process. The test client hid such exceptions, since it cancelled the server before they were out; it now waits for the server to return.

Result: the new test failed before with LocalProtocolError and passes.

--- a/pepperlatch/protocol/http/server.py
+++ b/pepperlatch/protocol/http/server.py
@@ -17,12 +17,16 @@
 
 @dataclass(slots=True)
 class Request:
-    """A request as read from the connection. `path`: its target, with the query."""
+    """A request as read from the connection. `path`: its target, with the query.
+
+    A HEAD request is handled as GET with `head_only`, so that handlers need not know of it.
+    """
 
     method: str
     path: str
     body: bytes
     gzip: bool = False  # whether the answer may be compressed
+    head_only: bool = False  # the answer is sent without its body
 
 
 @dataclass(slots=True)
@@ -110,7 +114,7 @@
             if request is None:
                 return
             close = self._open > c.HIGH_CONNECTION_SHARE * self._max_connections and not self._keeps_open(request)
-            await self._write(conn, stream, await self._answer(request), close=close)
+            await self._write(conn, stream, await self._answer(request), close=close, head_only=request.head_only)
             if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
                 return
             conn.start_next_cycle()
@@ -154,7 +158,8 @@
                     raise _too_large()
             elif isinstance(event, h11.EndOfMessage):
                 method, target = head.method.decode("ascii"), head.target.decode("ascii", "replace")
-                return Request(method, target, bytes(body), _accepts_gzip(head))
+                head_only = method == "HEAD"
+                return Request("GET" if head_only else method, target, bytes(body), _accepts_gzip(head), head_only)
             else:
                 return None
 
@@ -174,7 +179,12 @@
                 left -= len(data)
 
     async def _write(
-        self, conn: h11.Connection, stream: trio.abc.Stream, response: Response, close: bool = False
+        self,
+        conn: h11.Connection,
+        stream: trio.abc.Stream,
+        response: Response,
+        close: bool = False,
+        head_only: bool = False,
     ) -> None:
         payload = response.body if isinstance(response.body, bytes) else _json(response.body)
         headers = [] if "Content-Type" in response.headers else [("Content-Type", "application/json")]
@@ -183,7 +193,7 @@
         if close:
             headers.append(("Connection", "close"))
         data = conn.send(h11.Response(status_code=response.status, headers=headers)) or b""
-        if payload:
+        if payload and not head_only:
             data += conn.send(h11.Data(data=payload)) or b""
         data += conn.send(h11.EndOfMessage()) or b""
         with trio.move_on_after(c.REQUEST_READ_S):
@@ -222,6 +232,8 @@
     version = head.http_version.decode("ascii")
     if not version.startswith("1."):
         raise _Refused(505, _unsupported(version))
+    if head.method == b"CONNECT":
+        raise _Refused(405, "CONNECT is not served here")
     declared = next((value for name, value in head.headers if name == b"content-length"), b"0")
     if int(declared) > c.MAX_BODY_BYTES:
         raise _too_large()
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -1,5 +1,6 @@
 """Edge cases: malformed HTTP and settings, the command line, and the policies as pure functions."""
 
+import contextlib
 import subprocess
 import sys
 from pathlib import Path
@@ -53,8 +54,11 @@
 # --- HTTP -----------------------------------------------------------------------------------------
 
 
-def exchange(sent: bytes, wait_s: float = 0.0) -> bytes:
-    """All that a server sends in answer to these bytes until it closes, or within 200 virtual seconds."""
+def exchange(*pieces: bytes, pause_s: float = 0.0) -> bytes:
+    """All that a server sends in answer to these bytes until it closes, or within 200 virtual seconds.
+
+    The client pauses before each piece. An exception that leaves the connection is raised here.
+    """
 
     async def handler(request: Request) -> Response:
         if request.path == "/crash":
@@ -66,11 +70,14 @@
         received = b""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(Server(handler, 10)._connection, server_end)
-            await client_end.send_all(sent)
+            with contextlib.suppress(trio.BrokenResourceError):
+                for piece in pieces:
+                    await trio.sleep(pause_s)
+                    await client_end.send_all(piece)
             with trio.move_on_after(200):
                 while chunk := await client_end.receive_some(65536):
                     received += chunk
-            nursery.cancel_scope.cancel()
+            await client_end.aclose()  # the server notices and returns
         return received
 
     return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
@@ -91,6 +98,18 @@
     assert exchange(two).count(b"HTTP/1.1 200") == 2
 
 
+def test_requests_whose_answers_have_no_body_do_not_end_a_controller() -> None:
+    """Guards against a HEAD or CONNECT request that ended a controller with an error of the HTTP library."""
+    head = exchange(b"HEAD /healthz HTTP/1.1\r\nHost: x\r\n\r\nGET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+    answers = head.split(b"HTTP/1.1 200")[1:]
+    assert len(answers) == 2
+    assert [answer.lower().count(b"content-length: 11") for answer in answers] == [1, 1]
+    assert answers[0].endswith(b"\r\n\r\n") and answers[1].endswith(b'{"bytes":0}')
+    assert exchange(b"HEAD /crash HTTP/1.1\r\nHost: x\r\n\r\n").startswith(b"HTTP/1.1 500")
+    connect = exchange(b"CONNECT example.org:443 HTTP/1.1\r\nHost: example.org\r\n\r\n")
+    assert connect.startswith(b"HTTP/1.1 405") and b"CONNECT" in connect
+
+
 def test_malformed_jobs_never_crash_a_node() -> None:
     async def scenario(world: World) -> None:
         bodies: list[Any] = [
