An upload at its deadline ends only its connection

What callers saw: a body of which a piece comes just as the 5 s for a request are over could end the controller.

Cause: the time left, below 0 by then, was passed on to the wait, which raises ValueError.

Result: the new test failed before with that ValueError and passes.

--- a/pepperlatch/protocol/http/server.py
+++ b/pepperlatch/protocol/http/server.py
@@ -128,14 +128,14 @@
             return Response(500, {"error": "internal error"})
 
     async def _event(self, conn: h11.Connection, stream: trio.abc.Stream, seconds: float) -> Any:
-        """The next event of the connection; ConnectionClosed if none comes within `seconds`.
+        """The next event of the connection; ConnectionClosed if none comes within `seconds`, or if these are past.
 
         Data that has arrived already needs no deadline: usually one read takes a whole request.
         """
         event = conn.next_event()
         if event is not h11.NEED_DATA:
             return event
-        with trio.move_on_after(seconds):
+        with trio.move_on_after(max(0.0, seconds)):
             while event is h11.NEED_DATA:
                 conn.receive_data(bytes(await stream.receive_some(c.READ_CHUNK_BYTES)))
                 event = conn.next_event()
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -6,11 +6,13 @@
 from pathlib import Path
 from typing import Any
 
+import h11
 import pytest
 import trio
 import trio.testing
 
 from pepperlatch.command import cli, client
+from pepperlatch.constants import core as c
 from pepperlatch.controller import store
 from pepperlatch.controller.leadership import lease_extension_seconds
 from pepperlatch.policy import draining, fleet, quota
@@ -110,6 +112,27 @@
     assert connect.startswith(b"HTTP/1.1 405") and b"CONNECT" in connect
 
 
+@pytest.mark.parametrize("pause_s", [c.REQUEST_READ_S / 4, c.REQUEST_READ_S / 2, c.REQUEST_READ_S + 0.1])
+def test_an_upload_that_outlasts_its_deadline_ends_only_its_connection(pause_s: float) -> None:
+    """Guards against a negative time to wait, which ended a controller when data came just as the deadline passed."""
+    head = b"POST /work HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n"
+    assert exchange(head, *[b"x"] * 100, pause_s=pause_s) == b""
+
+
+def test_a_piece_that_came_as_the_deadline_passed_is_read_without_a_negative_wait() -> None:
+    async def main() -> Any:
+        client_end, server_end = trio.testing.memory_stream_pair()
+        connection = h11.Connection(h11.SERVER)
+        await client_end.send_all(b"GET / HTTP/1.1\r\n")
+        return await Server(answer_nothing, 1)._event(connection, server_end, -0.5)
+
+    assert isinstance(trio.run(main), h11.ConnectionClosed)
+
+
+async def answer_nothing(request: Request) -> Response:
+    return Response(200)
+
+
 def test_malformed_jobs_never_crash_a_node() -> None:
     async def scenario(world: World) -> None:
         bodies: list[Any] = [
