A request to a malformed address is not sent

What callers could see: a worker whose endpoint is no address ended the leader as it was sent a command or a probe, and then the next one.

Cause: taking the address apart, and looking up its host, raised errors that callers of a request don't expect.

Change: they mean that no connection was made (NotSent), and a port is up to five ASCII digits.

The fakes treat addresses as the real network does.

--- a/pepperlatch/protocol/http/client.py
+++ b/pepperlatch/protocol/http/client.py
@@ -11,7 +11,7 @@
 import trio
 
 from pepperlatch.constants import core as c
-from pepperlatch.settings import split_address
+from pepperlatch.settings import SettingsError, split_address
 
 
 class NotSent(Exception):
@@ -108,7 +108,10 @@
                 self._close(connection)
 
     async def _connect(self, addr: str, seconds: float) -> _Connection:
-        """A pooled connection to the address, or a new one. Raises NotSent, also if all connections are in use."""
+        """A pooled connection to the address, or a new one.
+
+        Raises NotSent, also if all connections are in use and for an address that is none.
+        """
         while idle := self._idle.get(addr):
             connection = idle[-1]
             self._take_from_pool(connection)
@@ -122,7 +125,10 @@
             self._drop_idle_one(next(iter(self._idle_order)))
         if self._open >= self.max_connections:
             raise NotSent("too many connections")
-        host, port = split_address(addr)
+        try:
+            host, port = split_address(addr)
+        except SettingsError as error:
+            raise NotSent(str(error)) from None
         sock = trio.socket.socket()
         self._open += 1
         try:
@@ -132,8 +138,8 @@
         except BaseException as error:
             self._open -= 1
             sock.close()
-            if isinstance(error, OSError | trio.TooSlowError):
-                raise NotSent(f"{addr}: {error!r}") from None
+            if isinstance(error, OSError | trio.TooSlowError | ValueError):  # ValueError: no name of a host
+                raise NotSent(f"{addr!r}: {error!r}") from None
             raise
 
     async def _exchange(
--- a/pepperlatch/settings.py
+++ b/pepperlatch/settings.py
@@ -4,13 +4,17 @@
 fields whose names differ in the file.
 """
 
+import re
 import tomllib
 from pathlib import Path
 
 import msgspec
 
+from pepperlatch.constants import core as c
 from pepperlatch.protocol import wire
 
+_PORT = re.compile(r"[0-9]{1,5}")
+
 
 class SettingsError(Exception):
     """The file is missing or unreadable, or a field in it is missing or wrong. The node does not start."""
@@ -167,8 +171,8 @@
 def split_address(address: str) -> tuple[str, int]:
     """Host and port. Raises SettingsError."""
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise SettingsError(f"not an address: {address!r}")
+    if not host or not _PORT.fullmatch(port) or not 0 < int(port) < 65536:
+        raise SettingsError(f"not an address: {address[: c.MAX_NAME_CHARS_SHOWN]!r}")
     return host, int(port)
 
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -25,7 +25,7 @@
 from pepperlatch.controller.daemon import Node
 from pepperlatch.protocol.http.client import NotSent, NoUsableResponse
 from pepperlatch.protocol.http.server import Request
-from pepperlatch.settings import parse
+from pepperlatch.settings import SettingsError, parse, split_address
 
 STATE, CLOUD = "10.2.0.1:1", "10.2.0.2:1"
 NODES = [f"perch-{n}" for n in range(12)]
@@ -710,6 +710,10 @@
 
     def _host(self, addr: str) -> tuple[str, Any]:
         """The name and the object of the host with this address; raises NotSent if no running host has it."""
+        try:
+            split_address(addr)
+        except SettingsError as error:
+            raise NotSent(str(error)) from None
         if addr == STATE:
             return "state", self.state
         if addr == CLOUD:
