Answers of the state service and the cloud are checked against types

What callers could see: a lease refused with a status 500, or a rental answered without a list, ended the controller that asked (TypeError, KeyError); so did a Retry-After header that is not ASCII.

Cause: answers to transactions, leases and rentals were read field by field without a check.

Change: they have types. A lease or an applied transaction whose answer cannot be read counts as unknown, a rental as failed. tests/scale/test_services.py reads a lease with the type that takes the place of the removed function.

--- a/pepperlatch/protocol/cloud.py
+++ b/pepperlatch/protocol/cloud.py
@@ -58,9 +58,13 @@
 
     async def hire(self, request: str, type_name: str, zone: str, spot: bool, count: int) -> list[str]:
         """Rent up to `count` machines; returns their names. Repeating the same `request` id rents no more."""
-        return wire.hired_names(
-            await self._call("POST", wire.MACHINES_PATH, wire.hire_body(request, type_name, zone, spot, count))
-        )
+        body = wire.hire_body(request, type_name, zone, spot, count)
+        answer = await self._call("POST", wire.MACHINES_PATH, body)
+        try:
+            hired: wire.HiredMachines = wire.convert(answer, wire.HiredMachines)
+        except msgspec.ValidationError as error:
+            raise CloudError(f"unexpected answer to a rental: {error}") from None
+        return hired.names
 
     async def release(self, names: list[str]) -> None:
         """Return machines to the cloud."""
--- a/pepperlatch/protocol/http/client.py
+++ b/pepperlatch/protocol/http/client.py
@@ -161,7 +161,7 @@
                 conn.receive_data(await stream.receive_some(c.READ_CHUNK_BYTES))
             elif isinstance(event, h11.Response):
                 status = event.status_code
-                retry_after = next((v.decode("ascii") for name, v in event.headers if name == b"retry-after"), "")
+                retry_after = next((v.decode("latin-1") for name, v in event.headers if name == b"retry-after"), "")
                 packed = any(name == b"content-encoding" and v == b"gzip" for name, v in event.headers)
             elif isinstance(event, h11.Data):
                 answer += event.data
--- a/pepperlatch/protocol/state.py
+++ b/pepperlatch/protocol/state.py
@@ -194,9 +194,10 @@
         """
         status, answer = await self._write(wire.txn_body(conditions, writes), len(writes), urgent, seconds)
         if status == 200:
-            return Outcome(wire.revision_of(answer))
+            return Outcome(_checked(answer, wire.TransactionResult, OutcomeUnknown).revision)
         if status == 409:
-            return Outcome(wire.revision_of(answer), wire.failed_keys(answer))
+            refused = _checked(answer, wire.TransactionResult)
+            return Outcome(refused.revision, refused.failed or [])
         if isinstance(answer, dict) and answer.get("error") == "no such lease":
             raise LeaseGone
         if status == 400:
@@ -223,7 +224,8 @@
     async def grant_lease(self, ttl_ms: int) -> int:
         """Ask for a lease of `ttl_ms` milliseconds; returns its number."""
         _, answer = await self._call("POST", wire.LEASES_PATH, wire.lease_body(ttl_ms), urgent=True)
-        return wire.lease_of(answer)
+        lease: wire.GrantedLease = _checked(answer, wire.GrantedLease, OutcomeUnknown)
+        return lease.number
 
     async def renew_lease(self, lease: int, seconds: float) -> None:
         """Let the lease run for its whole duration again. Raises LeaseGone if it has ended.
@@ -241,9 +243,9 @@
         await self._call("DELETE", f"{wire.LEASES_PATH}/{lease}", urgent=True)
 
 
-def _checked(answer: Any, kind: Any) -> Any:
-    """The answer as a `kind`. Raises NotExecuted if it has another form."""
+def _checked(answer: Any, kind: Any, error_type: type[Exception] = NotExecuted) -> Any:
+    """The answer as a `kind`. Raises an `error_type` if it has another form."""
     try:
         return wire.convert(answer, kind)
     except msgspec.ValidationError as error:
-        raise NotExecuted(f"unexpected answer: {error}") from None
+        raise error_type(f"unexpected answer: {error}") from None
--- a/pepperlatch/protocol/wire.py
+++ b/pepperlatch/protocol/wire.py
@@ -235,6 +235,25 @@
     events: list[Change]
 
 
+class TransactionResult(msgspec.Struct, rename={"revision": "ledger_mark"}):
+    """Answer to a transaction: its revision and, if it was not applied, the keys whose conditions did not hold."""
+
+    revision: int
+    failed: list[str] | None = None
+
+
+class GrantedLease(msgspec.Struct, rename={"number": "tenancy"}):
+    """Answer to a request for a lease."""
+
+    number: int
+
+
+class HiredMachines(msgspec.Struct, rename={"names": "perches"}):
+    """Answer to a rental: names of the machines."""
+
+    names: list[str]
+
+
 class MachinePage(msgspec.Struct, rename={"machines": "perches", "more": "truncated"}):
     """One page of the cloud's list of machines."""
 
@@ -343,11 +362,6 @@
     return {"hire": request, "build": type_name, "yard": zone, "loaners": spot, "count": count}
 
 
-def hired_names(answer: dict[str, Any]) -> list[str]:
-    """Names of the rented machines in the answer to a rental."""
-    return list(answer["perches"])
-
-
 def release_body(names: list[str]) -> dict[str, Any]:
     """Body of a request to return the named machines."""
     return {"perches": names}
@@ -411,21 +425,6 @@
     return f"{CHANGES_PATH}?under={prefix}&after={after}&wait_ms={wait_ms}"
 
 
-def revision_of(answer: dict[str, Any]) -> int:
-    """The state service's revision in the answer to a transaction."""
-    return int(answer["ledger_mark"])
-
-
 def lease_body(ttl_ms: int) -> dict[str, Any]:
     """Body of a request for a lease of `ttl_ms` milliseconds."""
     return {"life_ms": ttl_ms}
-
-
-def lease_of(answer: dict[str, Any]) -> int:
-    """The number of the granted lease."""
-    return int(answer["tenancy"])
-
-
-def failed_keys(answer: dict[str, Any]) -> list[str]:
-    """Keys whose version conditions did not hold, in the answer to a transaction that was not applied."""
-    return list(answer.get("failed") or [])
--- a/tests/scale/test_services.py
+++ b/tests/scale/test_services.py
@@ -62,7 +62,7 @@
 def test_the_keys_of_a_lease_that_is_not_renewed_are_deleted_and_never_early() -> None:
     async def steps(state: SimulatedStateService) -> None:
         _, granted = await ask(state.handle, "POST", wire.LEASES_PATH, wire.lease_body(1000))
-        lease = wire.lease_of(granted)
+        lease = wire.convert(granted, wire.GrantedLease).number
         await put(state, "a", 1, lease=lease)
         await trio.sleep(0.9)
         assert (await ask(state.handle, "POST", f"{wire.LEASES_PATH}/{lease}/touch"))[0] == 200
