--- a/tests/test_unreadable_answers.py
+++ b/tests/test_unreadable_answers.py
@@ -1,4 +1,4 @@
-"""Answers of the state service, the cloud and workers that have another form than the protocol's raise documented errors.
+"""Answers of the state service, the cloud and workers in another form than the protocol's raise documented errors.
 
 Guards against a KeyError or TypeError that ended the leader, for example as a lease was refused with a status 500.
 """
