A tiny amount of a job ends no leader

Cause: the quotient by such an amount is not finite, and was made an integer.

Change: such a quotient is never the limit.

--- a/pepperlatch/policy/model.py
+++ b/pepperlatch/policy/model.py
@@ -9,6 +9,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from pepperlatch.constants import core as c
 from pepperlatch.constants.core import EMPTYING_SHARE, MIN_REASON_SHOWN_S
 from pepperlatch.constants.core import EPS as EPS
 from pepperlatch.policy.reasons import DEBOUNCED, PLACING, Reason
@@ -61,14 +62,24 @@
 
     def slots(self, task: "Size") -> int:
         """How many tasks of that size fit."""
-        found = int((self.report_bytes + EPS) // task.report_bytes)
-        if task.cpus > 0:
-            found = min(found, int((self.cpus + EPS) // task.cpus))
+        found = (self.report_bytes + EPS) // task.report_bytes
+        if task.cpus > 0:  # the quotient by a tiny amount is not finite, and is never the smaller one
+            found = min(found, (self.cpus + EPS) // task.cpus)
         if task.gpus > 0:
-            found = min(found, int((self.gpus + EPS) // task.gpus))
+            found = min(found, (self.gpus + EPS) // task.gpus)
         if task.memory_gb > 0:
-            found = min(found, int((self.memory_gb + EPS) // task.memory_gb))
-        return max(0, found)
+            found = min(found, (self.memory_gb + EPS) // task.memory_gb)
+        return int(max(0.0, found))
+
+
+def times_into(amount: float, each: float) -> int:
+    """How many times `each`, which is above 0, goes into the amount: 0 for a negative one, at most MAX_TASKS.
+
+    The quotient by a tiny amount is not finite.
+    """
+    if amount >= each * c.MAX_TASKS:
+        return c.MAX_TASKS
+    return max(0, int(amount // each)) if amount > 0 else 0
 
 
 def task_size(spec: JobSpec) -> Size:
--- a/pepperlatch/policy/planner.py
+++ b/pepperlatch/policy/planner.py
@@ -18,7 +18,18 @@
 from pepperlatch.policy.cluster import Cluster
 from pepperlatch.policy.draining import lost_work
 from pepperlatch.policy.fleet import Bin, Demand, Offer
-from pepperlatch.policy.model import EPS, Attempt, Job, Machine, Phase, Status, allowed_on, fits_type, task_size
+from pepperlatch.policy.model import (
+    EPS,
+    Attempt,
+    Job,
+    Machine,
+    Phase,
+    Status,
+    allowed_on,
+    fits_type,
+    task_size,
+    times_into,
+)
 from pepperlatch.policy.operator_settings import OperatorSettings
 from pepperlatch.policy.pace import PLACEMENT_WORK
 from pepperlatch.policy.placement import Candidates
@@ -584,9 +595,8 @@
         if job.spec.kind is not Kind.ARRAY or job.spec.estimate_s <= 0:
             return 1
         boot_s = max((kind.boot_s for kind in self.cluster.types.values()), default=0.0)
-        return 1 + max(
-            0, int((self._max_slot_wait_s(job, now) - boot_s) // (job.spec.estimate_s * c.ESTIMATE_SAFETY_FACTOR))
-        )
+        left_s = self._max_slot_wait_s(job, now) - boot_s
+        return 1 + times_into(left_s, job.spec.estimate_s * c.ESTIMATE_SAFETY_FACTOR)
 
     def observe_zone(self, name: str, observation: ZoneObservation, now: float) -> None:
         """Apply an observation of a zone; nothing is rented where a machine would cost money and could not report."""
--- a/pepperlatch/policy/quota.py
+++ b/pepperlatch/policy/quota.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from pepperlatch.constants import core as c
 from pepperlatch.policy.model import EPS, Job
 from pepperlatch.policy.reasons import Reason, Why
 from pepperlatch.protocol.wire import JobSpec, Kind
@@ -48,14 +49,14 @@
             return 0
         used, unverified, reserved = self.of(spec.team), self.unverified.get(spec.team, Usage()), reserved or Usage()
         rooms = [
-            int((most - now + EPS) // each)
+            (most - now + EPS) // each  # not finite for a tiny amount
             for each, most, now in (
                 (spec.cpus, team.cpus_max, used.cpus + unverified.cpus + reserved.cpus),
                 (spec.gpus, team.gpus_max, used.gpus + unverified.gpus + reserved.gpus),
             )
             if each > 0 and most > 0
         ]
-        return max(0, min(rooms, default=spec.tasks))
+        return int(max(0.0, min([c.MAX_TASKS, *rooms]))) if rooms else spec.tasks
 
     def shown(self, name: str) -> dict[str, object]:
         """A team's usage, guarantee and limit, as the operators' view shows them."""
--- a/pepperlatch/policy/supply.py
+++ b/pepperlatch/policy/supply.py
@@ -11,7 +11,7 @@
 
 from pepperlatch.constants import core as c
 from pepperlatch.policy.fleet import Demand
-from pepperlatch.policy.model import EPS, Attempt, Job, Machine, Size, allowed_on, task_size
+from pepperlatch.policy.model import EPS, Attempt, Job, Machine, Size, allowed_on, task_size, times_into
 from pepperlatch.protocol import report_size
 from pepperlatch.protocol.wire import JobSpec, Kind
 from pepperlatch.settings import Objective
@@ -105,7 +105,7 @@
         )
         if not fits or not allowed_on(spec, machine.type.name, machine.zone, machine.spot):
             continue
-        count = min(demand.count, 1 + int((max_wait_s - slot.free_in_s) // run_s))
+        count = min(demand.count, 1 + times_into(max_wait_s - slot.free_in_s, run_s))
         demand.count -= count
         slot.free_in_s += count * run_s
         changed = True
