A large gang that was not sent is taken back without nested calls

Cause: removing one task stopped the others, each of which was removed within the call for the one before.

Change: the nested calls leave the rest to the first one.

--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -80,6 +80,7 @@
         self.newest_token = token
         self.newer_token_wanted = False  # tasks cannot be reaped with the tokens that this leader has
         self._last_number = 0
+        self._gangs_being_stopped: set[int] = set()  # numbers of attempts whose other tasks are just being stopped
         self.started = now  # when this leader took over
         # Before then no later leader has answered a worker; kept up to date by whoever asks `expire` or `lease_over`.
         self.no_successor_before = -math.inf
@@ -302,7 +303,20 @@
             job.waiting.appendleft(attempt.task)
 
     def _stop_rest_of_gang(self, job: Job, number: int) -> None:
-        """Stop the other tasks of a gang's attempt: all of them must be gone before the gang starts again."""
+        """Stop the other tasks of a gang's attempt: all of them must be gone before the gang starts again.
+
+        Tasks whose launches were not sent are removed at once, which calls this again for each; those calls leave the
+        rest to the first one. A nested call for each task would exceed the limit of the language for large gangs.
+        """
+        if number in self._gangs_being_stopped:
+            return
+        self._gangs_being_stopped.add(number)
+        try:
+            self._stop_attempts_of_gang(job, number)
+        finally:
+            self._gangs_being_stopped.discard(number)
+
+    def _stop_attempts_of_gang(self, job: Job, number: int) -> None:
         for other in list(job.live.values()):
             if other.number == number and other.wanted and other.state in (None, TaskState.FETCHING, TaskState.WAITING):
                 self.stop(other, 0.0, "its gang lost a task")
