Unexpected exceptions are contained: no controller ends by itself

What callers saw: any exception that nobody expected, in a loop, a connection or a term, passed the nurseries of the node and ended its process.

Change: it is logged with its traceback and counted (in the view, as a metric). A loop begins again after a second, commands behind the failed one are run, a connection is closed, a listener opened again, an answer that is no JSON becomes a 500. A change of the copy of the state service that fails discards the whole copy, which is then read anew as after a start; answers of reads that were sent before are not applied to it. It hides nothing: every scenario of the tests fails, with the trace, on a contained exception that it does not expect (one test provokes some: a faulty extension).

Cost: a leader that met an exception is succeeded, about as if its process had ended, but goes on serving. On the ordinary path a call more for each command.

--- a/pepperlatch/console/metrics.py
+++ b/pepperlatch/console/metrics.py
@@ -45,6 +45,11 @@
         )
         reachable = float(self._core.state.reachable())
         yield _gauge("pepperlatch_state_service_up", "1 if the state service answers this node", (), {(): reachable})
+        text = "Unexpected exceptions that this node has contained"
+        contained = CounterMetricFamily("pepperlatch_contained_exceptions", text, labels=("part",))
+        for part, count in sorted(self._core.contained_exceptions.items()):
+            contained.add_metric((part,), count)
+        yield contained
         if self._leader_and_recorder is not None:
             yield from self._leader_metrics(*self._leader_and_recorder)
 
--- a/pepperlatch/constants/core.py
+++ b/pepperlatch/constants/core.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 # --- HTTP -----------------------------------------------------------------------------------------
+LISTEN_BACKLOG: Final = 256  # connections that wait to be accepted on a listener
 MAX_BODY_BYTES: Final = 64 * 1024  # bytes; the protocol's limit for request bodies
 MAX_ORDERS_BYTES: Final = 60 * 1024  # bytes of the orders in one message to a worker; leaves 4 KiB for its other fields
 MAX_ORDER_BYTES: Final = 256  # bytes; no order is longer: a task's name has up to 74 characters, a number 20 digits
@@ -222,6 +223,7 @@
 FRESH_REPORTS: Final = 2.2  # report intervals since its last report within which a machine gets new tasks
 EPS: Final = 1e-6  # CPUs or GB; sums of decimal amounts are compared with this tolerance
 LONG_QUEUE_COMMANDS: Final = 200  # commands; a longer queue means that the node falls behind
+CONTAINED_RESTART_PAUSE_S: Final = 1.0  # s; before a loop that raised an unexpected exception begins again
 # Pause before an extension that raised an exception is started again; the cause seldom disappears sooner.
 EXTENSION_RESTART_PAUSE_S: Final = 5.0  # s
 MAX_QUEUE_COMMANDS: Final = 2000  # commands; several reports of every machine; further reports are refused at once
--- a/pepperlatch/controller/command_loop.py
+++ b/pepperlatch/controller/command_loop.py
@@ -12,6 +12,7 @@
 import trio
 
 from pepperlatch.constants import core as c
+from pepperlatch.containment import Containment
 
 log = logging.getLogger(__name__)
 Command = Callable[[], None]
@@ -22,16 +23,18 @@
 class CommandLoop:
     """Runs commands one after the other, and `after_batch` after each batch to act on what they changed.
 
-    `tick_s` is the longest time in seconds between two calls of `after_batch` while nothing is queued.
+    `tick_s` is the longest time in seconds between two calls of `after_batch` while nothing is queued. `containment`
+    takes up exceptions of commands; those behind in the queue are run all the same.
     """
 
     after_batch: Callable[[], None]
     tick_s: float
+    containment: Containment = field(default_factory=Containment)
     _queue: deque[Command] = field(default_factory=deque)
     _wake: trio.Event = field(default_factory=trio.Event)
 
     def enqueue(self, command: Command) -> None:
-        """Queue a command; it must not block, and an exception that it raises ends the node."""
+        """Queue a command; it must not block, and an exception that it raises ends a leader's term."""
         self._queue.append(command)
         self._wake.set()
 
@@ -51,9 +54,15 @@
             self._wake = trio.Event()
             if self.is_backlogged():
                 log.info("command loop falls behind: %d commands are queued", len(self._queue))
-            for _ in range(len(self._queue)):
-                self._queue.popleft()()
-            self.after_batch()
+            if not self._run_batch():
+                await trio.sleep(c.CONTAINED_RESTART_PAUSE_S)
+
+    def _run_batch(self) -> bool:
+        """Run all commands that are queued now, and then `after_batch`; returns whether none raised an exception."""
+        sound = True
+        for _ in range(len(self._queue)):
+            sound &= self.containment.call("a command", self._queue.popleft())
+        return self.containment.call("the work after a batch of commands", self.after_batch) and sound
 
 
 @dataclass(slots=True)
--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -2,7 +2,7 @@
 
 import logging
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from functools import partial
 from typing import Any
 
@@ -12,6 +12,7 @@
 
 from pepperlatch import __version__
 from pepperlatch.constants import core as c
+from pepperlatch.containment import Containment
 from pepperlatch.controller.admin import AdminApi
 from pepperlatch.controller.attestation import PEER_ATTEST, PEER_CANCELLED, PeerAttestation
 from pepperlatch.controller.command_loop import CommandLoop
@@ -68,12 +69,13 @@
         self.cloud = CloudClient(network, settings.services.cloud, params.cloud, clock)
         self.workers = WorkerClient(network)
         self.peers = PeerProxy(settings, network, self.workers)
+        self.containment = Containment(self._give_up_term)
         self.replica = Replica()
-        self.watcher = StateWatcher(self.state, self.replica, self._on_watch_change)
+        self.watcher = StateWatcher(self.state, self.replica, self._on_watch_change, self._give_up_term)
         lease_extension_s = lease_extension_seconds(params.workers.cancel_s, params.workers.lease_s)
         self.leadership = Leadership(settings.node, self.state, self.replica, lease_extension_s, clock, seed)
         self.attestation = PeerAttestation(network, settings.peers, self.watcher, self.leadership, clock)
-        self.command_loop = CommandLoop(self._after_batch, c.TICK_S / 5)
+        self.command_loop = CommandLoop(self._after_batch, c.TICK_S / 5, self.containment)
         self.heartbeats = HeartbeatHandler(
             settings,
             network,
@@ -89,8 +91,9 @@
         context = ExtensionContext(
             settings, self.users, self.watcher, self.state, wall, clock, network, lambda: self.leader,
             lambda: LeaderSnapshot(self.heartbeats.leader_contact.requested_at, self._progress),
+            self.containment.counts,
         )  # fmt: skip
-        self.extensions = Extensions([create(context) for create in extensions])
+        self.extensions = Extensions([create(context) for create in extensions], self.containment)
         self.images = ImageMemory()
         self.leaderless = LeaderlessReturns(
             params.workers, clock, self.replica, lambda: self.leader is not None, self.workers, self.peers, self.cloud
@@ -110,17 +113,32 @@
         """Run all loops until cancelled. `started` is called once they are scheduled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            loops = (
-                self.command_loop.run, self.watcher.watch, self.watcher.serve_syncs, self.users.create_loop,
-                self.contacts.run, self._health_loop, self._preferred_controllers_loop, self._machine_types_loop,
-                self.extensions.run, self.heartbeats.forwarder.run, self.leaderless.run,
-                partial(self.watcher.keep_current, lambda: self.leader is not None),
-            )  # fmt: skip
-            for loop in loops:
-                nursery.start_soon(loop)
-            nursery.start_soon(self.leadership.run, self._on_term)
+            for name, loop in self._loops().items():
+                nursery.start_soon(self.containment.run, name, loop)
             started()
 
+    def _loops(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """All loops of the node, by their names in the log. Each may be begun again after an exception left it."""
+        return {
+            "the command loop": self.command_loop.run,
+            "the watch of the state service": self.watcher.watch,
+            "the reads for users": self.watcher.serve_syncs,
+            "the reads for the leader": partial(self.watcher.keep_current, lambda: self.leader is not None),
+            "the creation of jobs": self.users.create_loop,
+            "the contact with other controllers": self.contacts.run,
+            "the health checks": self._health_loop,
+            "the search for preferred controllers": self._preferred_controllers_loop,
+            "the reads of machine types": self._machine_types_loop,
+            "the extensions": self.extensions.run,
+            "the forwarding of heartbeats": self.heartbeats.forwarder.run,
+            "the returns while nobody leads": self.leaderless.run,
+            "the elections": partial(self.leadership.run, self._on_term),
+        }
+
+    def _give_up_term(self) -> None:
+        """End this node's term, if it leads: what the leader holds may not be whole any more."""
+        self.leadership.give_up(c.HANDOVER_PAUSE_S)
+
     def _on_term(self, term: Term | None) -> None:
         """Called by `Leadership` with each term that this node wins, and with None when it ends."""
         if term is None:
@@ -132,8 +150,9 @@
         )  # fmt: skip
         self.leader.cluster.listener = self.extensions.listener(self.leader)
         if self._nursery is not None:
-            self._nursery.start_soon(self.leader.run)
-            self._nursery.start_soon(self.extensions.run_while_leading, term)
+            self._nursery.start_soon(self.containment.run_once, "the leader's work", self.leader.run)
+            run_extensions = partial(self.extensions.run_while_leading, term)
+            self._nursery.start_soon(self.containment.run_once, "the extensions of the leader", run_extensions)
 
     def _on_watch_change(self, touched: set[str]) -> None:
         """Called by the watch with the ids of changed jobs.
@@ -148,7 +167,11 @@
     def _after_batch(self) -> None:
         """Called by the command loop after each batch of commands."""
         urgencies = self.replica.prerequisites.urgencies
-        changed = urgencies.update(c.MAX_URGENCY_STEPS_PER_BATCH)
+        try:
+            changed = urgencies.update(c.MAX_URGENCY_STEPS_PER_BATCH)
+        except Exception:
+            self.watcher.discard()
+            raise
         if self.leader is not None:
             self.leader.on_urgencies(changed)
             self.leader.after_batch()
@@ -310,6 +333,7 @@
             "node": self.settings.node,
             "version": __version__,
             "parts": self.extensions.names(),
+            "contained_exceptions": dict(self.containment.counts),
             "leader": known_leader[0] if known_leader else None,
             "token": known_leader[1] if known_leader else None,
         }
@@ -355,9 +379,16 @@
         ):
             host, port = split_address(address)
             # A crowded listener closes connections, except those that carry workers' reports.
-            server = Server(handler, max_connections, lambda request: request.path == wire.REPORT_PATH)
+            server = Server(
+                handler, max_connections, lambda request: request.path == wire.REPORT_PATH, node.containment
+            )
             await nursery.start(server.serve, host, port)
         nursery.start_soon(node.run)
-        while True:
-            await trio.sleep(c.POOL_IDLE_S)
-            network.drop_idle()
+        nursery.start_soon(node.containment.run, "the closing of idle connections", partial(_drop_idle, network))
+
+
+async def _drop_idle(network: HttpNetwork) -> None:
+    """Close connections that were idle for long, until cancelled."""
+    while True:
+        await trio.sleep(c.POOL_IDLE_S)
+        network.drop_idle()
--- a/pepperlatch/controller/extensions.py
+++ b/pepperlatch/controller/extensions.py
@@ -7,14 +7,15 @@
 """
 
 import logging
-from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from dataclasses import dataclass, field
 from functools import partial
 from typing import TYPE_CHECKING, Any, Protocol
 
 import trio
 
 from pepperlatch.constants import core as c
+from pepperlatch.containment import Containment
 from pepperlatch.controller import store
 from pepperlatch.controller.leadership import Term
 from pepperlatch.controller.store import StateWatcher
@@ -53,6 +54,7 @@
     network: Network
     current_leader: "Callable[[], Leader | None]"  # None while this node does not lead
     leader_snapshot: Callable[[], LeaderSnapshot]
+    contained_exceptions: Mapping[str, int] = field(default_factory=dict)  # of this node, by the part that raised them
 
 
 class Extension(Protocol):
@@ -83,7 +85,7 @@
 class Extensions:
     """All extensions that are switched on, isolated from each other and from the controller."""
 
-    def __init__(self, extensions: Sequence[Extension]) -> None:
+    def __init__(self, extensions: Sequence[Extension], containment: Containment | None = None) -> None:
         """Raises ValueError if two key prefixes overlap, or one overlaps with the controller's own."""
         taken = [store.WATCHED, store.FLEET]
         for extension in extensions:
@@ -91,6 +93,7 @@
                 raise ValueError(f"{extension.name}: keys below {extension.prefix!r} are taken")
             taken.append(extension.prefix)
         self._extensions = extensions
+        self._containment = containment or Containment()
 
     def names(self) -> list[str]:
         return [extension.name for extension in self._extensions]
@@ -113,19 +116,21 @@
         for extension in self._extensions:
             try:
                 found = extension.create_listener(leader)
-            except Exception:
+            except Exception as error:
+                self._containment.count(f"extension {extension.name}", error)
                 log.exception(
                     "extension %s failed to create its listener and gets no events in this term", extension.name
                 )
                 continue
             if found is not None:
                 listeners.append((extension.name, found))
-        return IsolatingListener(listeners) if listeners else NullListener()
+        return IsolatingListener(listeners, self._containment) if listeners else NullListener()
 
     async def _handle_isolated(self, extension: Extension, request: Request) -> Response:
         try:
             return await extension.handle(request)
-        except Exception:
+        except Exception as error:
+            self._containment.count(f"extension {extension.name}", error)
             log.exception("extension %s failed on %s %s, answered 500", extension.name, request.method, request.path)
             return Response(500, {"error": f"{extension.name} failed"})
 
@@ -140,7 +145,8 @@
             try:
                 await loop()
                 return
-            except Exception:
+            except Exception as error:
+                self._containment.count(f"extension {name}", error)
                 log.exception("extension %s failed, restarting it after a pause", name)
             await trio.sleep(c.EXTENSION_RESTART_PAUSE_S)
 
@@ -157,15 +163,17 @@
 class IsolatingListener:
     """Passes each event to all listeners. One that raises is logged and gets no further events in this term."""
 
-    def __init__(self, listeners: list[tuple[str, Listener]]) -> None:
+    def __init__(self, listeners: list[tuple[str, Listener]], containment: Containment) -> None:
         self._listeners = listeners
+        self._containment = containment
 
     def _notify(self, event: str, *arguments: Any) -> None:
         """Call the listeners' method of that name."""
         for entry in list(self._listeners):
             try:
                 getattr(entry[1], event)(*arguments)
-            except Exception:
+            except Exception as error:
+                self._containment.count(f"extension {entry[0]}", error)
                 log.exception("extension %s failed on an event and gets no more events in this term", entry[0])
                 self._listeners.remove(entry)
 
--- a/pepperlatch/controller/leader.py
+++ b/pepperlatch/controller/leader.py
@@ -151,6 +151,8 @@
 
     def _start(self, pairs: list[wire.KeyValue]) -> None:
         """Take over: load all that is recorded, and have every machine fenced."""
+        if self.term.over:
+            return
         now = self.clock()
         cluster = self.cluster
         cluster.types = {kind.name: kind for kind in self.replica.types}
@@ -257,7 +259,7 @@
 
     def on_jobs(self, touched: set[str]) -> None:
         """Take in changes of these jobs, and of the operators' settings, in this node's copy of the state service."""
-        if not self.ready:
+        if not self.ready or self.term.over:
             return
         for job_id in touched:
             entry = self.replica.jobs[job_id]
@@ -277,7 +279,7 @@
 
     def on_urgencies(self, changed: set[str]) -> None:
         """Take in that these jobs have become more or less urgent through jobs that need them."""
-        if self.ready:
+        if self.ready and not self.term.over:
             for job_id in changed:
                 self._apply_urgency(job_id)
 
--- a/pepperlatch/controller/leadership.py
+++ b/pepperlatch/controller/leadership.py
@@ -112,7 +112,10 @@
         self.no_election_until = 0.0
 
     async def run(self, on_term: Callable[[Term | None], None]) -> None:
-        """Run until cancelled; call `on_term` with each term that begins, and with None when it is over."""
+        """Run until cancelled; call `on_term` with each term that begins, and with None when it is over.
+
+        A term does not outlast this: it is over, too, if this is cancelled or an exception leaves it.
+        """
         while True:
             try:
                 term = await self._try_to_win()
@@ -125,13 +128,15 @@
             self.term = term
             self._state.set_role(True)
             log.info("leading with token %d", term.token)
-            on_term(term)
-            await self._keep_lease(term)
-            term.over = True
-            self.term = None
-            self._state.set_role(False)
-            log.info("no longer leading with token %d", term.token)
-            on_term(None)
+            try:
+                on_term(term)
+                await self._keep_lease(term)
+            finally:
+                term.over = True
+                self.term = None
+                self._state.set_role(False)
+                log.info("no longer leading with token %d", term.token)
+                on_term(None)
 
     async def _try_to_win(self) -> Term | None:
         """Enter one election; None if another controller leads, or won, or this node may not lead now.
@@ -216,6 +221,14 @@
         term = self.term
         if term is None:
             return
-        self.no_election_until = self._clock() + pause_s
-        term.over = True
+        self.give_up(pause_s)
         await self._revoke_lease(term.lease)
+
+    def give_up(self, pause_s: float) -> None:
+        """End the term, if there is one, and enter no election for `pause_s` seconds so that another can win.
+
+        The leader key is deleted before the next election (see `_end_earlier_term`), or expires.
+        """
+        if self.term is not None and not self.term.over:
+            self.no_election_until = self._clock() + pause_s
+            self.term.over = True
--- a/pepperlatch/controller/store.py
+++ b/pepperlatch/controller/store.py
@@ -18,7 +18,7 @@
 import sys
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 from typing import Any, NamedTuple
 
 import msgspec
@@ -120,6 +120,7 @@
     """
 
     revision: int = 0
+    generation: int = 0  # how often the copy was discarded
     loaded: bool = False
     current_at: float = -math.inf  # all that was confirmed before then is in the copy: when the latest read was sent
     jobs: dict[str, JobEntry] = field(default_factory=dict)
@@ -157,6 +158,12 @@
         self.loaded = True
         return touched
 
+    def discard(self) -> None:
+        """Forget everything, as after a start of the process, so that all keys are read anew."""
+        empty = Replica(generation=self.generation + 1)
+        for attribute in fields(empty):
+            setattr(self, attribute.name, getattr(empty, attribute.name))
+
     def apply(self, changes: wire.Changes, at: float = math.inf) -> set[str]:
         """Apply changes that were read at `at`, and return the ids of the jobs that changed.
 
@@ -486,13 +493,21 @@
 class StateWatcher:
     """Keeps the replica current, and serves reads that must not be older than their request (`sync`).
 
-    `on_change` is called with the ids of the jobs that changed, after every change of the replica.
+    `on_change` is called with the ids of the jobs that changed, after every change of the replica; `on_discard` after
+    the replica was discarded, when a leader must not act on it any more.
     """
 
-    def __init__(self, state: StateClient, replica: Replica, on_change: Callable[[set[str]], None]) -> None:
+    def __init__(
+        self,
+        state: StateClient,
+        replica: Replica,
+        on_change: Callable[[set[str]], None],
+        on_discard: Callable[[], None] = lambda: None,
+    ) -> None:
         self._state = state
         self.replica = replica
         self._on_change = on_change
+        self._on_discard = on_discard
         self._pending_syncs: list[_PendingSync] = []
         self._sync_requested = trio.Event()
 
@@ -513,24 +528,40 @@
 
         Raises NotExecuted or OutcomeUnknown if the state service does not answer.
         """
-        sent = trio.current_time()
+        sent, generation = trio.current_time(), self.replica.generation
         changes = await self._state.changes(WATCHED, self.replica.revision, wait_ms)
+        if self.replica.generation != generation:
+            raise NotExecuted("the copy that the changes belong to was discarded")
         if changes is None:
             return False
         if changes.events or changes.revision > self.replica.revision:
-            self._on_change(self.replica.apply(changes, trio.current_time()))
+            self._change(lambda: self.replica.apply(changes, trio.current_time()))
         self.replica.current_at = max(self.replica.current_at, sent)
         return True
 
     def learn(self, rows: list[tuple[str, Any, int]]) -> None:
         """Apply job records that this node or another one has had confirmed; later answers reflect them."""
         if rows:
-            self._on_change(self.replica.learn(rows, trio.current_time()))
+            self._change(lambda: self.replica.learn(rows, trio.current_time()))
 
     async def _reload(self) -> None:
         """Read all watched keys anew."""
         revision, pairs = await self._state.read_all(WATCHED, compact)
-        self._on_change(self.replica.reload(revision, pairs, trio.current_time()))
+        self._change(lambda: self.replica.reload(revision, pairs, trio.current_time()))
+
+    def _change(self, change: Callable[[], set[str]]) -> None:
+        """Change the replica; after an exception it is discarded, since it may have been changed in part."""
+        try:
+            touched = change()
+        except Exception:
+            self.discard()
+            raise
+        self._on_change(touched)
+
+    def discard(self) -> None:
+        """Discard the replica, and have all keys read anew."""
+        self.replica.discard()
+        self._on_discard()
 
     async def sync(self) -> None:
         """Return once the replica holds all that was written before this call.
--- a/pepperlatch/protocol/http/server.py
+++ b/pepperlatch/protocol/http/server.py
@@ -1,5 +1,6 @@
 """A small HTTP/1.1 server: one async function answers every request. Reading and writing have deadlines."""
 
+import contextlib
 import logging
 import re
 from collections.abc import Awaitable, Callable
@@ -11,6 +12,7 @@
 import trio
 
 from pepperlatch.constants import core as c
+from pepperlatch.containment import Containment
 
 log = logging.getLogger(__name__)
 
@@ -69,20 +71,38 @@
     """Serves one listener; holds at most `max_connections` connections and closes further ones at once.
 
     Above HIGH_CONNECTION_SHARE of that limit, a connection is closed with its next answer unless `keeps_open` returns
-    true for the request, so workers keep their connections while users reconnect.
+    true for the request, so workers keep their connections while users reconnect. `containment` takes up unexpected
+    exceptions: of the handler, which are answered with 500, and of connections, which are closed.
     """
 
     def __init__(
-        self, handler: Handler, max_connections: int, keeps_open: Callable[[Request], bool] = lambda request: True
+        self,
+        handler: Handler,
+        max_connections: int,
+        keeps_open: Callable[[Request], bool] = lambda request: True,
+        containment: Containment | None = None,
     ) -> None:
+        self._containment = containment or Containment()
         self._handler = handler
         self._max_connections = max_connections
         self._keeps_open = keeps_open
         self._open = 0
 
     async def serve(self, host: str, port: int, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
-        """Listen until cancelled. Raises OSError if the port cannot be opened."""
-        await trio.serve_tcp(self._connection, port, host=host, backlog=256, task_status=task_status)
+        """Listen until cancelled. Raises OSError if the port cannot be opened at first.
+
+        After an exception of the listener it is opened again.
+        """
+        listeners = await trio.open_tcp_listeners(port, host=host, backlog=c.LISTEN_BACKLOG)
+        task_status.started(listeners)
+        while True:
+            try:
+                await trio.serve_listeners(self._connection, listeners)
+            except Exception as error:
+                self._containment.record("a listener", error, "it is opened again after a pause")
+            await trio.sleep(c.CONTAINED_RESTART_PAUSE_S)
+            with contextlib.suppress(OSError):  # the closed listeners raise once more, and are replaced after a pause
+                listeners = await trio.open_tcp_listeners(port, host=host, backlog=c.LISTEN_BACKLOG)
 
     async def _connection(self, stream: trio.abc.Stream) -> None:
         if self._open >= self._max_connections:
@@ -94,6 +114,8 @@
                 await self._requests(stream)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
+        except Exception as error:
+            self._containment.record("a connection", error, "it is closed")
         finally:
             self._open -= 1
 
@@ -120,12 +142,13 @@
             conn.start_next_cycle()
 
     async def _answer(self, request: Request) -> Response:
-        """The handler's answer; 500 if the handler raises an exception, which is logged."""
+        """The handler's answer with its body as bytes; 500 if it raises an exception or its answer is no JSON."""
         try:
-            return await self._handler(request)
-        except Exception:
+            return _encoded(await self._handler(request))
+        except Exception as error:
+            self._containment.count("a request", error)
             log.exception("request %s %s raised an exception; answered with status 500", request.method, request.path)
-            return Response(500, {"error": "internal error"})
+            return _encoded(Response(500, {"error": "internal error"}))
 
     async def _event(self, conn: h11.Connection, stream: trio.abc.Stream, seconds: float) -> Any:
         """The next event of the connection; ConnectionClosed if none comes within `seconds`, or if these are past.
@@ -170,7 +193,7 @@
         """
         if conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        await self._write(conn, stream, Response(refused.status, {"error": str(refused)}), close=True)
+        await self._write(conn, stream, _encoded(Response(refused.status, {"error": str(refused)})), close=True)
         left = c.REFUSAL_DRAIN_BYTES
         with trio.move_on_after(c.REFUSAL_DRAIN_S):
             if isinstance(stream, trio.SocketStream):
@@ -186,7 +209,8 @@
         close: bool = False,
         head_only: bool = False,
     ) -> None:
-        payload = response.body if isinstance(response.body, bytes) else _json(response.body)
+        """Send a response whose body is bytes; `head_only`: without that."""
+        payload: bytes = response.body
         headers = [] if "Content-Type" in response.headers else [("Content-Type", "application/json")]
         headers.append(("Content-Length", str(len(payload))))
         headers += list(response.headers.items())
@@ -200,8 +224,12 @@
             await stream.send_all(data)
 
 
-def _json(body: Any) -> bytes:
-    return b"" if body is None else orjson.dumps(body)
+def _encoded(response: Response) -> Response:
+    """The response with its body as bytes."""
+    body = response.body
+    if not isinstance(body, bytes):
+        body = b"" if body is None else orjson.dumps(body)
+    return Response(response.status, body, response.headers)
 
 
 def _accepts_gzip(head: h11.Request) -> bool:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -694,6 +694,8 @@
         self.observer = Observer(self)
         self.nodes: dict[int, Node] = {}
         self.scopes: dict[int, trio.CancelScope] = {}
+        self.processes: list[Node] = []  # every controller that was ever started
+        self.expected_exceptions: set[str] = set()  # parts of a node whose contained exceptions a test provokes
         self.link_faults: dict[tuple[str, str], str] = {}  # by source and destination
         self.held_requests: list[CapturedRequest] = []
         self.frozen: set[str] = set()  # paused controllers: their requests, and those to them, wait
@@ -829,6 +831,7 @@
             self.extensions,
         )
         self.nodes[index] = node
+        self.processes.append(node)
         self.nursery.start_soon(self._run, index, node)
 
     async def _run(self, index: int, node: Node) -> None:
@@ -840,6 +843,12 @@
         del self.nodes[index]
         self.scopes[index].cancel()
 
+    def check_contained_exceptions(self) -> None:
+        """Raise AssertionError, with the traceback, if a controller contained an exception that was not expected."""
+        for node in self.processes:
+            unexpected = {part for part in node.containment.counts if part not in self.expected_exceptions}
+            assert not unexpected, f"{node.settings.node} contained {unexpected}: {node.containment.latest}"
+
     async def restart(self, index: int, away_s: float) -> None:
         """Kill a controller and start it again `away_s` seconds later; nothing if it does not run."""
         if index in self.nodes:
@@ -965,7 +974,8 @@
 ) -> None:
     """Run a scenario with `count` controllers, from the moment when a leader is ready.
 
-    Raises AssertionError if the observer saw a rule violated by its end. `more`: further arguments of `World`.
+    Raises AssertionError if the observer saw a rule violated by its end, or a controller contained an exception that
+    the scenario did not expect. `more`: further arguments of `World`.
     """
 
     async def main() -> None:
@@ -980,6 +990,7 @@
             )
             await scenario(world)
             assert world.observer.violations == [], world.observer.violations
+            world.check_contained_exceptions()
             nursery.cancel_scope.cancel()
 
     make_scheduling_deterministic()
--- a/tests/test_extensions.py
+++ b/tests/test_extensions.py
@@ -61,7 +61,9 @@
         return made[-1]
 
     async def scenario(world: World) -> None:
+        world.expected_exceptions.add("extension faulty")
         assert (await world.ask(0, "GET", "/faulty/x"))[0] == 500
+        assert world.nodes[0].containment.counts["extension faulty"] > 0
         assert (await world.ask(0, "GET", "/faultyx"))[0] == 404
         assert (await world.send("admin", "10.0.0.0:2", "GET", "/admin/faulty", None, 5.0))[0] == 500
         assert (await world.send("admin", "10.0.0.0:2", "GET", "/admin/view", None, 5.0))[0] == 200
