A machine whose session became known meanwhile is fenced without a pause

What callers could see: after a takeover such a machine counts as unaccounted for 0.4 s longer.

Cause: the session in a worker's refusal was compared with one that a heartbeat had replaced while the command was on its way.

Change: it is compared with the session that the command named.

Result: the new test failed before and passes.

--- a/pepperlatch/controller/health.py
+++ b/pepperlatch/controller/health.py
@@ -76,8 +76,9 @@
                 if machine.name not in self._context.cluster.unverified or self._context.term.over:
                     return
                 with contextlib.suppress(NotSent, NoUsableResponse):
-                    executed, report = await self._show_token(machine, max(1, machine.session))
-                    if not executed and report.session != max(1, machine.session):
+                    session = max(1, machine.session)
+                    executed, report = await self._show_token(machine, session)
+                    if not executed and report.session != session:
                         executed, _ = await self._show_token(machine, report.session)
                     if executed:
                         return
--- a/tests/test_terms_replaced_meanwhile.py
+++ b/tests/test_terms_replaced_meanwhile.py
@@ -1,13 +1,20 @@
 """What a loop read before it waited is replaced while it waits: by a new term, or by another loop."""
 
+from types import SimpleNamespace
 from typing import Any
 
 import trio
 import trio.testing
 
+from pepperlatch.constants import core as c
+from pepperlatch.controller.health import Health
 from pepperlatch.controller.heartbeats.forwarding import HeartbeatForwarder, _PendingReport
 from pepperlatch.controller.leader import Leader
+from pepperlatch.policy.model import Machine
+from pepperlatch.protocol import wire
+from tests.cuts.test_sessions import TOKEN, cluster_of, report
 from tests.fakes import World, run_scenario
+from tests.test_edges import machine
 
 
 def test_a_new_term_is_not_handed_over_for_what_the_earlier_term_did_not_hear() -> None:
@@ -59,3 +66,39 @@
 
     outcomes = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     assert outcomes == [(200, {"of": number}) for number in range(3)]
+
+
+class RestartedWorker:
+    """A worker in its second session; a heartbeat of it reaches the leader while the first command is on its way."""
+
+    def __init__(self, machine: Machine) -> None:
+        self.machine = machine
+        self.sessions: list[int] = []
+
+    async def command(
+        self, addr: str, token: int, session: int, orders: list[Any], seconds: float
+    ) -> tuple[bool, wire.Report]:
+        await trio.sleep(0.01)
+        self.machine.session = 2
+        self.sessions.append(session)
+        return session == 2, report(2, len(self.sessions))
+
+
+def test_a_machine_whose_session_became_known_meanwhile_is_fenced_without_a_pause() -> None:
+    """Guards against FENCE_RETRY_S for each such machine after a takeover, in which its tasks count as unaccounted."""
+
+    async def main() -> tuple[list[int], float]:
+        one = machine("n-1")
+        one.session = 1
+        cluster = cluster_of(one)
+        worker = RestartedWorker(one)
+        context: Any = SimpleNamespace(
+            cluster=cluster, term=SimpleNamespace(over=False, token=TOKEN), clock=trio.current_time,
+            command_loop=SimpleNamespace(enqueue=lambda command: None),
+        )  # fmt: skip
+        began = trio.current_time()
+        await Health(context, worker, None, lambda *more: None).fence(one)  # type: ignore[arg-type]
+        return worker.sessions, trio.current_time() - began
+
+    sessions, took_s = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert sessions == [1, 2] and took_s < c.FENCE_RETRY_S
