--- a/pepperlatch/policy/cluster.py
+++ b/pepperlatch/policy/cluster.py
@@ -24,6 +24,7 @@
 from pepperlatch.policy.reasons import Reason
 from pepperlatch.policy.renewal_delegates import PROCESS_AGE_KEY, RenewalDelegates
 from pepperlatch.policy.task_queue import TaskQueue
+from pepperlatch.policy.unverified_usage import unseen_usage
 from pepperlatch.protocol import wire
 from pepperlatch.protocol.order_batch import Order, OrderBatch
 from pepperlatch.protocol.wire import Cause, JobSpec, Kind, MachineType, Report, TaskReport, TaskState
@@ -953,13 +954,8 @@
         """
         usage: dict[str, Usage] = {}
         if self.rebuilding():
-            for job in self.jobs.values():
-                if job.from_earlier_term and not job.over:
-                    unseen = job.spec.tasks - len(job.done) - len(job.live)
-                    usage.setdefault(job.spec.team, Usage()).add(job.spec, unseen)
-            for gone in self.cancelled.unverified.values():
-                usage.setdefault(gone.spec.team, Usage()).add(gone.spec, gone.unseen)
-            self._cap_usage(usage)
+            machines = [self.machines.get(name) for name in self.unverified]
+            usage = unseen_usage(self.jobs.values(), self.cancelled.unverified.values(), machines)
         else:
             self.cancelled.unverified.clear()
         for tasks in self.unknown_tasks.values():  # holds no exited tasks
@@ -968,16 +964,6 @@
                     usage.setdefault(spec.team, Usage()).add(spec, 1)
         self.quota.unverified = usage
 
-    def _cap_usage(self, usage: dict[str, Usage]) -> None:
-        """Limit the usage to the unverified machines' capacity: a worker refuses tasks that it has no room for."""
-        machines = [self.machines.get(name) for name in self.unverified]
-        known = [machine for machine in machines if machine is not None]
-        if len(known) < len(machines):
-            return  # the capacity of a machine of an unknown type is not known
-        cpus, gpus = sum(m.type.cpus for m in known), sum(m.type.gpus for m in known)
-        for use in usage.values():
-            use.cpus, use.gpus = min(use.cpus, cpus), min(use.gpus, gpus)
-
     def _spec_of_task(self, task: str) -> JobSpec | None:
         parts = split_task(task)
         if parts is None:
