A leader that met an unexpected exception waits 3 s before it enters an election

15 s, the pause after a hand-over, is longer than a worker's lease: with three controllers that all meet the same exception nobody would enter an election for most of that time.

--- a/pepperlatch/constants/core.py
+++ b/pepperlatch/constants/core.py
@@ -223,6 +223,9 @@
 FRESH_REPORTS: Final = 2.2  # report intervals since its last report within which a machine gets new tasks
 EPS: Final = 1e-6  # CPUs or GB; sums of decimal amounts are compared with this tolerance
 LONG_QUEUE_COMMANDS: Final = 200  # commands; a longer queue means that the node falls behind
+# A leader that gave up its term after an unexpected exception enters no election for this long: enough for another to
+# be elected, and short beside the workers' leases if every controller meets the same exception.
+GIVEN_UP_PAUSE_S: Final = 3.0  # s
 CONTAINED_RESTART_PAUSE_S: Final = 1.0  # s; before a loop that raised an unexpected exception begins again
 # Pause before an extension that raised an exception is started again; the cause seldom disappears sooner.
 EXTENSION_RESTART_PAUSE_S: Final = 5.0  # s
--- a/pepperlatch/controller/daemon.py
+++ b/pepperlatch/controller/daemon.py
@@ -137,7 +137,7 @@
 
     def _give_up_term(self) -> None:
         """End this node's term, if it leads: what the leader holds may not be whole any more."""
-        self.leadership.give_up(c.HANDOVER_PAUSE_S)
+        self.leadership.give_up(c.GIVEN_UP_PAUSE_S)
 
     def _on_term(self, term: Term | None) -> None:
         """Called by `Leadership` with each term that this node wins, and with None when it ends."""
