A late message of the leader does not replace a later list of machines

What callers could see: a message that a cut has held makes a follower go by an older list for up to 0.7 s, so that a machine that may hold a cancelled task is not returned in time if the leader ends then during an outage. Not seen in a whole scenario.

Cause: each list that came was taken for the latest.

Change: the leader numbers its messages, in an optional field; a follower ignores what comes after a later one. Of leaders of earlier versions only the term counts.

It costs a number in a message.

--- a/pepperlatch/controller/contacts.py
+++ b/pepperlatch/controller/contacts.py
@@ -20,7 +20,7 @@
 from pepperlatch.controller.command_loop import CommandLoop, Reply
 from pepperlatch.controller.heartbeats.handler import HeartbeatHandler
 from pepperlatch.controller.leader import Leader
-from pepperlatch.controller.leaderless import LeaderlessReturns
+from pepperlatch.controller.leaderless import LeaderlessReturns, MessageOrder
 from pepperlatch.controller.leadership import Leadership
 from pepperlatch.controller.store import Replica
 from pepperlatch.policy.cancellations import CancelledOn
@@ -49,6 +49,7 @@
     delegation: DelegationStatement | None = None  # from a follower that accepts delegations: the grants that it holds
     cancelled: list[CancelledOn] = []  # from the leader: machines that may hold a cancelled task
     witnesses: list[str] = []  # from the leader: addresses of machines that it hears from
+    number: int = 0  # from the leader: grows with each of its messages in a term; 0 from earlier versions
 
 
 def _parse_message(body: bytes) -> PeerMessage | None:
@@ -86,6 +87,7 @@
         self._images_received = (0, 0)  # token of the leader, and number of the last image use received from it
         self._progress_cache: tuple[int, float, dict[str, Any]] = (0, float("-inf"), {})  # token, time made, rows
         self._peer_answered_at = float("-inf")
+        self._message_number = 0  # of the latest message as the leader
         self._last_to_forward = ""  # the machine that ended the list in the leader's last message; "" if all were named
 
     def _find_peer(self, node: str) -> Peer | None:
@@ -148,7 +150,8 @@
         message = _parse_message(body)
         if message is None:
             return Response(400, {"error": "wanted: node and token"})
-        self._leaderless.update_machines(message.cancelled, message.witnesses)
+        sent_as = MessageOrder(message.token, message.number)
+        self._leaderless.update_machines(message.cancelled, message.witnesses, sent_as)
         return Response(200, self._heartbeats.revoke_renewal(message.relay))
 
     # --- sending requests -------------------------------------------------------------------------
@@ -229,9 +232,11 @@
         """What the leader sends to all other controllers, unasked."""
         now, cluster = self._clock(), leader.cluster
         cancelled = cluster.machines_with_cancelled_tasks(now)
+        self._message_number += 1
         return PeerMessage(
             self._settings.node, leader.term.token, relay=self._next_to_forward(leader, now),
             cancelled=first_that_fit(cancelled, c.MAX_MACHINE_LIST_BYTES), witnesses=cluster.latest_reporters(),
+            number=self._message_number,
         )  # fmt: skip
 
     def _next_to_forward(self, leader: Leader, now: float) -> list[str]:
--- a/pepperlatch/controller/leaderless.py
+++ b/pepperlatch/controller/leaderless.py
@@ -9,6 +9,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 import trio
 
@@ -33,6 +34,13 @@
     unanswered: int = 0  # probes without an answer since nobody leads
 
 
+class MessageOrder(NamedTuple):
+    """Orders the leaders' messages: by the term's token, then by the message's number in the term."""
+
+    token: int
+    number: int  # 0 from a leader of an earlier version, which numbers none
+
+
 class LeaderlessReturns:
     """While nobody leads, probes the machines on the leader's latest list and returns those that nobody reaches.
 
@@ -52,13 +60,18 @@
         self._cloud = cloud
         self._candidates: dict[str, _ReturnCandidate] = {}
         self._updated_at = float("inf")
+        self._latest = MessageOrder(0, 0)  # of the message with the latest list
         self._witnesses: list[str] = []
 
-    def update_machines(self, machines: list[CancelledOn], witnesses: list[str]) -> None:
+    def update_machines(self, machines: list[CancelledOn], witnesses: list[str], sent_as: MessageOrder) -> None:
         """Take in the leader's latest list, which replaces the one before, and its witnesses.
 
-        A machine that is no longer listed has shown that it holds no such task, or is gone.
+        A machine that is no longer listed has shown that it holds no such task, or is gone. A message that arrives
+        after a later one, of this leader or of its successor, is ignored.
         """
+        if sent_as.token < self._latest.token or (sent_as.number and sent_as < self._latest):
+            return
+        self._latest = sent_as
         now = self._clock()
         self._updated_at = now
         self._witnesses = witnesses
--- a/tests/combined_failures/test_followers_that_come_back.py
+++ b/tests/combined_failures/test_followers_that_come_back.py
@@ -4,11 +4,14 @@
 list while it is still occupied with the earlier one.
 """
 
+import orjson
 import pytest
 import trio
 
+from pepperlatch.controller.daemon import Node
+from pepperlatch.protocol.http.client import HttpNetwork
 from tests.combined_failures.test_machines_and_leaders import submit_until_accepted
-from tests.fakes import CANCEL_S, NODES, ZONES, World, job, run_scenario
+from tests.fakes import CANCEL_S, NODES, ZONES, World, job, run_scenario, settings_of
 
 KNOWN_S = 2.0  # after the cancellation: by then all followers know of the machine
 AWAY_S = [18.0 + step / 4 for step in range(10)]  # for how long the follower is away; the machine is returned meanwhile
@@ -57,3 +60,25 @@
         assert (await world.ask(follower, "GET", "/healthz"))[0] == 200
 
     run_scenario(scenario)
+
+
+def names_after(*messages: tuple[int, int, list[str]]) -> list[str]:
+    """The machines that a follower holds for listed after messages with these tokens, numbers and lists."""
+    node = Node(settings_of(0), HttpNetwork(1), lambda: 100.0, lambda: 1e9, 0)
+    for token, number, names in messages:
+        body = {"node": "perch-1", "token": token, "number": number, "cancelled": [[name, "", 3.0] for name in names]}
+        assert node.contacts.serve_revocation(orjson.dumps(body)).status == 200
+    return sorted(node.leaderless._candidates)
+
+
+def test_a_late_message_of_a_leader_does_not_replace_a_later_list() -> None:
+    """Guards against a machine that a follower forgets, or takes for listed, after a message that a cut has held."""
+    assert names_after((5, 1, ["n-1"]), (5, 2, ["n-1", "n-2"]), (5, 1, ["n-1"])) == ["n-1", "n-2"]
+    assert names_after((5, 9, ["n-1"]), (7, 1, []), (5, 10, ["n-1"])) == []
+    assert names_after((5, 9, ["n-1"]), (7, 1, ["n-2"])) == ["n-2"]
+
+
+def test_messages_of_leaders_of_an_earlier_version_have_no_numbers() -> None:
+    assert names_after((5, 0, ["n-1"]), (5, 0, ["n-2"])) == ["n-2"]
+    assert names_after((5, 3, ["n-1"]), (7, 0, ["n-2"]), (5, 0, ["n-1"])) == ["n-2"]
+    assert names_after((7, 0, ["n-1"]), (8, 1, ["n-2"]), (8, 2, [])) == []
